--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Set-up, demonstration, tests and measurements of goldcrestline.
+
+BUILD ?= build
+PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libpistache-dev \
+	libcapnp-dev capnproto libboost1.81-dev libcxxopts-dev libeasyloggingpp-dev \
+	libtrompeloeil-cpp-dev catch2 librapidcheck-dev libtomlplusplus-dev libcurl4-openssl-dev \
+	libssl-dev libxxhash-dev nlohmann-json3-dev
+
+.PHONY: setup build demo test bench format format-check lint generate install
+
+setup:
+	@missing=""; for it in $(PACKAGES); do \
+		dpkg -s $$it >/dev/null 2>&1 || missing="$$missing $$it"; done; \
+	if [ -n "$$missing" ]; then \
+		apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $$missing; fi
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@ninja -C $(BUILD)
+
+demo: build
+	$(BUILD)/tests/demo
+
+test: build
+	cd $(BUILD) && RC_PARAMS="seed=20261204" ctest --output-on-failure -j 2
+
+bench: build
+	$(BUILD)/tests/bench
+
+format:
+	git ls-files '*.cpp' '*.h' | grep -v /generated/ | xargs clang-format -i
+
+format-check:
+	git ls-files '*.cpp' '*.h' | grep -v /generated/ | xargs clang-format --dry-run --Werror
+
+lint: build
+	git ls-files 'packages/*.cpp' | grep -v /generated/ | \
+		xargs -P 8 -n 4 clang-tidy -p $(BUILD) --quiet --warnings-as-errors='*'
+
+generate:
+	cd packages/adapters/peers && capnp compile -oc++:generated --src-prefix=. peer.capnp
+
+install: build
+	cmake --install $(BUILD) --prefix $(or $(PREFIX),/usr/local)
--- /dev/null
+++ b/cmake/goldcrestline-config.cmake
@@ -0,0 +1,5 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Boost 1.81)
+find_dependency(OpenSSL)
+find_dependency(nlohmann_json)
+include(${CMAKE_CURRENT_LIST_DIR}/goldcrestline-targets.cmake)
--- /dev/null
+++ b/packages/adapters/settings/settings.cpp
@@ -0,0 +1,220 @@
+#include "adapters/settings/settings.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <optional>
+#include <toml++/toml.h>
+
+namespace goldcrestline::adapters::settings {
+
+using core::Error;
+using core::ResultCode;
+
+namespace {
+
+constexpr std::size_t maximumNameLength = 64;
+
+bool isName(const std::string &text)
+{
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_';
+    };
+    return !text.empty() && text.size() <= maximumNameLength
+        && std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool fits(TextForm form, const std::string &text)
+{
+    switch (form) {
+    case TextForm::Any:
+        return true;
+    case TextForm::Name:
+        return isName(text);
+    case TextForm::Address:
+        return isAddress(text);
+    }
+    return false;
+}
+
+const char *describe(TextForm form)
+{
+    switch (form) {
+    case TextForm::Any:
+        return "a string";
+    case TextForm::Name:
+        return "a name of letters, digits, '-' and '_'";
+    case TextForm::Address:
+        return "an IP address with a port, as in \"127.0.0.1:7000\"";
+    }
+    return "";
+}
+
+// Reads one file into a tree and keeps the first error.
+class Loader
+{
+public:
+    explicit Loader(std::string file) : m_file(std::move(file)) { }
+
+    std::optional<Error> load(Section &section, const toml::table &table, const std::string &path)
+    {
+        for (const auto &[key, value] : table) {
+            const std::string name(key.str());
+            const auto &children = section.children();
+            const auto it = std::find_if(children.begin(), children.end(),
+                                         [&](const Node *node) { return node->key() == name; });
+            if (it == children.end())
+                return at(value, ResultCode::SettingsUnknownKey, path + name, "a known key");
+            (*it)->given = true;
+            if (auto error = loadNode(**it, value, path + name))
+                return error;
+        }
+        return checkRequired(section, table, path);
+    }
+
+private:
+    std::optional<Error> loadNode(Node &node, const toml::node &value, const std::string &path)
+    {
+        switch (node.type()) {
+        case NodeType::Section:
+            if (!value.is_table())
+                return at(value, ResultCode::SettingsWrongType, path, "a table");
+            return load(static_cast<Section &>(node), *value.as_table(), path + ".");
+        case NodeType::Text:
+            return loadText(static_cast<TextNode &>(node), value, path);
+        case NodeType::Integer:
+            return loadInteger(static_cast<IntegerNode &>(node), value, path);
+        case NodeType::Number:
+            return loadNumber(static_cast<NumberNode &>(node), value, path);
+        case NodeType::TextList:
+            return loadList(static_cast<TextListNode &>(node), value, path);
+        }
+        return std::nullopt;
+    }
+
+    std::optional<Error> loadText(TextNode &node, const toml::node &value, const std::string &path)
+    {
+        if (!value.is_string())
+            return at(value, ResultCode::SettingsWrongType, path, describe(node.form));
+        node.value = value.as_string()->get();
+        if (!fits(node.form, node.value))
+            return at(value, ResultCode::SettingsOutOfRange, path, describe(node.form));
+        return std::nullopt;
+    }
+
+    std::optional<Error> loadInteger(IntegerNode &node, const toml::node &value,
+                                     const std::string &path)
+    {
+        const auto range =
+            "an integer from " + std::to_string(node.low) + " to " + std::to_string(node.high);
+        if (!value.is_integer())
+            return at(value, ResultCode::SettingsWrongType, path, range);
+        node.value = value.as_integer()->get();
+        if (node.value < node.low || node.value > node.high)
+            return at(value, ResultCode::SettingsOutOfRange, path, range);
+        return std::nullopt;
+    }
+
+    std::optional<Error> loadNumber(NumberNode &node, const toml::node &value,
+                                    const std::string &path)
+    {
+        const auto range =
+            "a number from " + std::to_string(node.low) + " to " + std::to_string(node.high);
+        const auto n = value.value<double>();
+        if (!value.is_number() || !n)
+            return at(value, ResultCode::SettingsWrongType, path, range);
+        node.value = *n;
+        if (!(node.value >= node.low && node.value <= node.high))
+            return at(value, ResultCode::SettingsOutOfRange, path, range);
+        return std::nullopt;
+    }
+
+    std::optional<Error> loadList(TextListNode &node, const toml::node &value,
+                                  const std::string &path)
+    {
+        const std::string expected = std::string("a list, each ") + describe(node.form);
+        if (!value.is_array())
+            return at(value, ResultCode::SettingsWrongType, path, expected);
+        for (const auto &it : *value.as_array()) {
+            if (!it.is_string())
+                return at(it, ResultCode::SettingsWrongType, path, expected);
+            node.value.push_back(it.as_string()->get());
+            if (!fits(node.form, node.value.back()))
+                return at(it, ResultCode::SettingsOutOfRange, path, expected);
+        }
+        return std::nullopt;
+    }
+
+    std::optional<Error> checkRequired(const Section &section, const toml::table &table,
+                                       const std::string &path)
+    {
+        for (const auto *it : section.children()) {
+            if (it->type() == NodeType::Text && !it->given) {
+                const auto &node = static_cast<const TextNode &>(*it);
+                if (node.presence == Presence::Required)
+                    return at(table, ResultCode::SettingsMissing, path + it->key(),
+                              describe(node.form));
+            }
+            if (it->type() == NodeType::Section && !it->given) {
+                if (auto error = checkRequired(static_cast<const Section &>(*it), table,
+                                               path + it->key() + "."))
+                    return error;
+            }
+        }
+        return std::nullopt;
+    }
+
+    Error at(const toml::node &node, ResultCode code, const std::string &key,
+             const std::string &expected) const
+    {
+        const auto line = node.source().begin.line;
+        return {code,
+                m_file + ":" + std::to_string(line) + ": key '" + key + "': expected " + expected};
+    }
+
+    std::string m_file;
+};
+
+} // namespace
+
+Node::Node(Section *parent, std::string key, NodeType type) : m_key(std::move(key)), m_type(type)
+{
+    if (parent != nullptr)
+        parent->m_children.push_back(this);
+}
+
+bool isAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    std::string ip = text.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+        ip = ip.substr(1, ip.size() - 2);
+    unsigned port = 0;
+    const auto *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + colon + 1, end, port);
+    constexpr unsigned highestPort = 65535;
+    if (result.ec != std::errc() || result.ptr != end || port == 0 || port > highestPort)
+        return false;
+    unsigned char buf[sizeof(in6_addr)];
+    return inet_pton(AF_INET, ip.c_str(), buf) == 1 || inet_pton(AF_INET6, ip.c_str(), buf) == 1;
+}
+
+core::Result<std::shared_ptr<const Settings>> loadSettings(const std::string &path)
+{
+    auto settings = std::make_shared<Settings>();
+    try {
+        const toml::table table = toml::parse_file(path);
+        if (auto error = Loader(path).load(*settings, table, ""))
+            return *error;
+    } catch (const toml::parse_error &e) {
+        const auto line = e.source().begin.line;
+        // Line 0 stands for a file that could not be opened.
+        const auto code = line == 0 ? ResultCode::SettingsUnreadable : ResultCode::SettingsSyntax;
+        return Error{code, path + ":" + std::to_string(line) + ": " + std::string(e.description())};
+    }
+    return std::shared_ptr<const Settings>(std::move(settings));
+}
+
+} // namespace goldcrestline::adapters::settings
--- /dev/null
+++ b/packages/adapters/settings/settings.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "adapters/settings/node.h"
+#include "core/result.h"
+
+#include <memory>
+#include <string>
+
+namespace goldcrestline::adapters::settings {
+
+// The daemon's settings: one tree of typed nodes.
+struct Settings : Section
+{
+    Settings() : Section(nullptr, "") { }
+
+    struct Host : Section
+    {
+        using Section::Section;
+        TextNode name{this, "name", "", Presence::Required, TextForm::Name};
+        TextNode zone{this, "zone", "", Presence::Required, TextForm::Name};
+    } host{this, "host"};
+
+    struct Listen : Section
+    {
+        using Section::Section;
+        TextNode callers{this, "callers", "", Presence::Required, TextForm::Address};
+        TextNode control{this, "control", "", Presence::Required, TextForm::Address};
+        TextNode peers{this, "peers", "", Presence::Required, TextForm::Address};
+    } listen{this, "listen"};
+
+    struct Platform : Section
+    {
+        using Section::Section;
+        TextNode address{this, "address", "", Presence::Required, TextForm::Address};
+        IntegerNode watchMs{this, "watch_ms", 20000, 100, 300000};
+        IntegerNode timeoutMs{this, "timeout_ms", 1000, 10, 60000};
+        IntegerNode watchers{this, "watchers", 3, 1, 1000};
+    } platform{this, "platform"};
+
+    struct Peers : Section
+    {
+        using Section::Section;
+        TextListNode seeds{this, "seeds", TextForm::Address};
+        IntegerNode periodMs{this, "period_ms", 300, 50, 10000};
+        IntegerNode suspicionMs{this, "suspicion_ms", 1500, 100, 60000};
+        IntegerNode confirmationMs{this, "confirmation_ms", 4000, 500, 60000};
+        // Upper bound of hosts at any time; divides each server's connections.
+        IntegerNode hostsAtMost{this, "hosts_at_most", 12, 1, 10000};
+    } peers{this, "peers"};
+
+    struct Callers : Section
+    {
+        using Section::Section;
+        IntegerNode bodyBytes{this, "body_bytes", 1 << 20, 1024, 64 << 20};
+        IntegerNode readMs{this, "read_ms", 5000, 100, 600000};
+        IntegerNode idleMs{this, "idle_ms", 60000, 100, 3600000};
+        IntegerNode keepMs{this, "keep_ms", 5000, 100, 600000};
+        IntegerNode entryPoints{this, "entry_points", 4, 1, 100};
+        IntegerNode keyLifeMs{this, "key_life_ms", 600000, 1000, 86400000};
+        IntegerNode stopMs{this, "stop_ms", 60000, 100, 600000};
+    } callers{this, "callers"};
+
+    struct Queries : Section
+    {
+        using Section::Section;
+        IntegerNode concurrent{this, "concurrent", 256, 1, 100000};
+        NumberNode hedgeShare{this, "hedge_share", 0.04, 0, 1};
+        NumberNode retryShare{this, "retry_share", 0.1, 0, 1};
+        NumberNode hedgeQuantile{this, "hedge_quantile", 0.95, 0.5, 0.999};
+        IntegerNode joinIdentical{this, "join_identical", 0, 0, 1};
+        IntegerNode cancelGraceMs{this, "cancel_grace_ms", 250, 10, 60000};
+        IntegerNode pollMs{this, "poll_ms", 1000, 100, 60000};
+        IntegerNode idleConnectionMs{this, "idle_connection_ms", 20000, 100, 600000};
+    } queries{this, "queries"};
+
+    struct Log : Section
+    {
+        using Section::Section;
+        TextNode level{this, "level", "info", Presence::Optional};
+    } log{this, "log"};
+};
+
+// Loads a file into the default tree. Errors: 4000 to 4005 with file, line, key and what was
+// expected. Thread-safe.
+core::Result<std::shared_ptr<const Settings>> loadSettings(const std::string &path);
+
+// Tells whether `text` is an IP address with a port, as in "127.0.0.1:80". Thread-safe.
+bool isAddress(const std::string &text);
+
+} // namespace goldcrestline::adapters::settings
--- /dev/null
+++ b/packages/cli/config_commands.cpp
@@ -0,0 +1,232 @@
+#include "cli/command.h"
+#include "cli/fleet_status.h"
+#include "cli/options.h"
+
+#include "adapters/curl/http_platform_store.h"
+#include "core/hash.h"
+#include "policy/config/change_writer.h"
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+namespace goldcrestline::cli {
+
+using adapters::curl::HttpClient;
+using adapters::curl::HttpPlatformStore;
+using core::Error;
+using core::ResultCode;
+namespace config = policy::config;
+
+namespace {
+
+constexpr core::Millis platformTimeout{1000};
+constexpr core::Millis step{50};
+constexpr core::Millis pauseBetweenTries{100};
+constexpr const char *listsName = "config/lists";
+
+// Blocking access to the lists on the platform.
+class ListsStore
+{
+public:
+    explicit ListsStore(const std::string &address)
+        : m_store(m_client, address, platformTimeout) { }
+
+    core::Result<ports::StoredObject> read()
+    {
+        std::optional<core::Result<ports::StoredObject>> result;
+        m_store.read(listsName, [&](auto it) { result.emplace(std::move(it)); });
+        while (!result)
+            m_client.run(step);
+        return *result;
+    }
+
+    config::WriteReport write(const config::WriteLists &order)
+    {
+        std::optional<ports::WriteEnd> end;
+        m_store.write(listsName, order.expected, order.text,
+                      [&](ports::WriteEnd it, std::uint64_t) { end = it; });
+        while (!end)
+            m_client.run(step);
+        switch (*end) {
+        case ports::WriteEnd::Written:
+            return config::WriteReport::Written;
+        case ports::WriteEnd::Conflict:
+            return config::WriteReport::Conflict;
+        case ports::WriteEnd::Refused:
+            return config::WriteReport::Refused;
+        case ports::WriteEnd::Unknown:
+            break;
+        }
+        return config::WriteReport::Unknown;
+    }
+
+private:
+    HttpClient m_client;
+    HttpPlatformStore m_store;
+};
+
+int fail(const Error &error)
+{
+    std::cerr << error.text() << '\n';
+    const bool unknown = core::infoOf(error.code).resultClass == core::ResultClass::OutcomeUnknown;
+    return unknown ? ExitUnknown : ExitRefused;
+}
+
+core::Result<config::Lists> readLists(const std::string &platform)
+{
+    ListsStore store(platform);
+    const auto object = store.read();
+    if (!object.has_value())
+        return object.error();
+    if (object.value().version == 0)
+        return config::Lists{};
+    return config::parseLists(object.value().text);
+}
+
+core::Result<std::uint64_t> applyChange(ListsStore &store, config::ChangeWriter &writer,
+                                        core::TimePoint giveUpAt)
+{
+    config::WriterStep next = config::ReadLists{};
+    while (true) {
+        if (const auto *accepted = std::get_if<config::Accepted>(&next))
+            return accepted->revision;
+        if (const auto *refused = std::get_if<config::NotApplied>(&next))
+            return refused->why;
+        if (core::Clock::now() >= giveUpAt) {
+            const auto code =
+                writer.inDoubt() ? ResultCode::ListsNotConfirmed : ResultCode::PlatformUnreachable;
+            return Error{code, "run the command again with the same --change-id"};
+        }
+        if (const auto *order = std::get_if<config::WriteLists>(&next)) {
+            next = writer.onWritten(store.write(*order));
+            continue;
+        }
+        const auto object = store.read();
+        if (object.has_value())
+            next = writer.onRead(object.value().version, object.value().text, core::wallNow());
+        else
+            std::this_thread::sleep_for(pauseBetweenTries);
+    }
+}
+
+// Waits until every host shows the revision, and prints how many do.
+int waitInForce(const std::string &control, std::uint64_t revision, core::TimePoint giveUpAt)
+{
+    HttpClient client;
+    std::size_t last = SIZE_MAX;
+    while (true) {
+        const auto reports = readFleetStatus(client, control);
+        const auto inForce = static_cast<std::size_t>(
+            std::count_if(reports.begin(), reports.end(), [&](const HostReport &it) {
+                return !it.status.is_null()
+                    && it.status.value("lists_revision", std::uint64_t{0}) >= revision;
+            }));
+        if (inForce != last)
+            std::cout << "in force on " << inForce << " of " << reports.size() << " hosts\n";
+        last = inForce;
+        if (!reports.empty() && inForce == reports.size())
+            return ExitDone;
+        if (core::Clock::now() >= giveUpAt)
+            return ExitUnknown;
+        std::this_thread::sleep_for(pauseBetweenTries);
+    }
+}
+
+int applyLists(const cxxopts::ParseResult &parsed, const std::string &platform)
+{
+    const auto file = parsed["file"].as<std::string>();
+    const auto text = readFile(file);
+    if (!text)
+        return usageError("cannot read " + file);
+    auto edit = config::parseLists(*text);
+    if (!edit.has_value())
+        return fail(edit.error());
+    std::optional<std::uint64_t> base;
+    if (parsed.count("base") != 0)
+        base = parsed["base"].as<std::uint64_t>();
+    else if (parsed.count("on-newest") == 0)
+        return usageError("--base REVISION (see config get) or --on-newest is needed");
+    auto changeId = parsed["change-id"].as<std::string>();
+    constexpr int changeIdBytes = 16;
+    if (changeId.empty())
+        changeId = core::randomHex(changeIdBytes);
+    const auto giveUpAt = core::Clock::now() + std::chrono::seconds(parsed["wait-s"].as<int>());
+    ListsStore store(platform);
+    config::ChangeWriter writer(std::move(edit.value()), base, changeId,
+                                parsed["author"].as<std::string>());
+    const auto revision = applyChange(store, writer, giveUpAt);
+    if (!revision.has_value()) {
+        std::cerr << "change " << changeId << '\n';
+        return fail(revision.error());
+    }
+    std::cout << "accepted as revision " << revision.value() << " change " << changeId << '\n';
+    if (parsed.count("host") == 0)
+        return ExitDone;
+    return waitInForce(parsed["host"].as<std::string>(), revision.value(), giveUpAt);
+}
+
+int printHistory(const config::Lists &lists, bool asJson)
+{
+    if (asJson) {
+        std::cout << config::printLists(lists) << '\n';
+        return ExitDone;
+    }
+    for (const auto &it : lists.history)
+        std::cout << it.revision << "  " << it.acceptedAt << "  " << it.author << "  "
+                  << it.changeId << '\n';
+    return ExitDone;
+}
+
+} // namespace
+
+int runConfig(const Arguments &arguments)
+{
+    cxxopts::Options options("goldcrestline config", "Works on the operators' two lists.");
+    options.add_options()("action", "get, check, apply or history", cxxopts::value<std::string>())(
+        "file", "lists in JSON, or - for standard input",
+        cxxopts::value<std::string>()->default_value("-"))(
+        "platform", "address of the platform", cxxopts::value<std::string>()->default_value(""))(
+        "base", "revision that the edit was made on",
+        cxxopts::value<std::uint64_t>())("on-newest", "apply on whatever revision is newest")(
+        "change-id", "id of the change, to repeat an unconfirmed one",
+        cxxopts::value<std::string>()->default_value(""))(
+        "author", "name for the history", cxxopts::value<std::string>()->default_value("operator"))(
+        "host", "control address of a host, to wait until in force", cxxopts::value<std::string>())(
+        "wait-s", "seconds to wait", cxxopts::value<int>()->default_value("15"))("json",
+                                                                                 "print JSON");
+    options.parse_positional({"action", "file"});
+    options.positional_help("get|check|apply|history [FILE]");
+    int exitCode = 0;
+    const auto parsed = parse(options, arguments, exitCode);
+    if (!parsed)
+        return exitCode;
+    const auto action = parsed->count("action") != 0 ? (*parsed)["action"].as<std::string>() : "";
+    const auto platform = (*parsed)["platform"].as<std::string>();
+    if (action == "check") {
+        const auto text = readFile((*parsed)["file"].as<std::string>());
+        if (!text)
+            return usageError("cannot read " + (*parsed)["file"].as<std::string>());
+        const auto lists = config::parseLists(*text);
+        if (!lists.has_value())
+            return fail(lists.error());
+        std::cout << "the lists are valid\n";
+        return ExitDone;
+    }
+    if (action != "get" && action != "apply" && action != "history")
+        return usageError("the action is get, check, apply or history");
+    if (platform.empty())
+        return usageError("--platform is missing");
+    if (action == "apply")
+        return applyLists(*parsed, platform);
+    const auto lists = readLists(platform);
+    if (!lists.has_value())
+        return fail(lists.error());
+    if (action == "history")
+        return printHistory(lists.value(), parsed->count("json") != 0);
+    std::cerr << "revision " << lists.value().revision << '\n';
+    std::cout << config::printEditablePart(lists.value()) << '\n';
+    return ExitDone;
+}
+
+} // namespace goldcrestline::cli
--- /dev/null
+++ b/packages/cli/status_command.cpp
@@ -0,0 +1,89 @@
+#include "cli/command.h"
+#include "cli/fleet_status.h"
+#include "cli/options.h"
+
+#include "adapters/curl/blocking.h"
+#include "core/result.h"
+
+#include <iostream>
+
+namespace goldcrestline::cli {
+
+using adapters::curl::HttpClient;
+using adapters::curl::Transfer;
+using adapters::curl::TransferEnd;
+using nlohmann::json;
+
+namespace {
+
+json readStatus(HttpClient &client, const std::string &control)
+{
+    Transfer transfer;
+    transfer.url = "http://" + control + "/v1/status";
+    const auto result = fetch(client, std::move(transfer));
+    if (result.end != TransferEnd::Answered)
+        return nullptr;
+    auto status = json::parse(result.body, nullptr, false);
+    return status.is_discarded() ? json(nullptr) : status;
+}
+
+} // namespace
+
+std::vector<HostReport> readFleetStatus(HttpClient &client, const std::string &control)
+{
+    std::vector<HostReport> reports;
+    const auto first = readStatus(client, control);
+    if (first.is_null())
+        return reports;
+    for (const auto &it : first.at("members")) {
+        const auto state = it.value("state", "");
+        if (state != "alive" && state != "suspect")
+            continue;
+        const auto address = it.value("control", "");
+        reports.push_back({it.value("host", ""), address,
+                           address == control ? first : readStatus(client, address)});
+    }
+    return reports;
+}
+
+int runStatus(const Arguments &arguments)
+{
+    cxxopts::Options options("goldcrestline status", "Shows every host's state.");
+    options.add_options()("host", "control address of any host",
+                          cxxopts::value<std::string>())("json", "print JSON");
+    int exitCode = 0;
+    const auto parsed = parse(options, arguments, exitCode);
+    if (!parsed)
+        return exitCode;
+    if (parsed->count("host") == 0)
+        return usageError("--host is missing");
+    HttpClient client;
+    const auto host = (*parsed)["host"].as<std::string>();
+    const auto reports = readFleetStatus(client, host);
+    if (reports.empty()) {
+        std::cerr << core::Error{core::ResultCode::HostUnreachable, host}.text() << '\n';
+        return ExitRefused;
+    }
+    if (parsed->count("json") != 0) {
+        json out = json::array();
+        for (const auto &it : reports)
+            out.push_back({{"host", it.name}, {"control", it.control}, {"status", it.status}});
+        std::cout << out.dump() << '\n';
+        return ExitDone;
+    }
+    for (const auto &it : reports) {
+        if (it.status.is_null()) {
+            std::cout << it.name << "  does not answer at " << it.control << '\n';
+            continue;
+        }
+        std::cout << it.name << "  zone " << it.status.value("zone", "") << "  "
+                  << (it.status.value("serving", false) ? "serving" : "not serving")
+                  << (it.status.value("leaving", false) ? ", leaving" : "") << "  lists "
+                  << it.status.value("lists_revision", 0) << "  servers "
+                  << it.status.value("fleet_revision", 0) << "  running "
+                  << it.status.value("running", 0) << '\n';
+    }
+    return ExitDone;
+}
+
+} // namespace goldcrestline::cli
--- /dev/null
+++ b/packages/core/result_code.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+// Numbered result codes, shared by the caller interface, the command line and the logs.
+namespace goldcrestline::core {
+
+// Tells whether the work behind a request ran.
+enum class ResultClass { Done, RefusedNotRun, OutcomeUnknown };
+
+enum class ResultCode : int {
+    Ok = 1000,
+    PartialCoverage = 1001,
+    NoChange = 1002,
+
+    MalformedRequest = 2000,
+    BodyTooLarge = 2001,
+    UnknownPath = 2002,
+    RequestTimeout = 2003,
+    MissingCustomer = 2010,
+    UnknownCustomer = 2011,
+    ServiceNotInPlan = 2012,
+    UnknownService = 2013,
+    PlanLimitReached = 2020,
+    Overloaded = 2021,
+    HostStopping = 2022,
+    HostBehind = 2023,
+    NoConfiguration = 2024,
+    NoServerAvailable = 2025,
+    DeadlineTooShort = 2026,
+    NoSnapshot = 2027,
+    KeyReusedWithOtherBody = 2030,
+    KeyNotYours = 2031,
+    KeyMalformed = 2032,
+    PlatformUnconfirmed = 2033,
+    ServerRejected = 2040,
+
+    OutcomeUnknown = 3000,
+    IssuerGone = 3001,
+    KeyExpired = 3002,
+    IssuerTimeout = 3003,
+    RecordedElsewhere = 3004,
+    NothingInTime = 3010,
+
+    SettingsUnreadable = 4000,
+    SettingsSyntax = 4001,
+    SettingsUnknownKey = 4002,
+    SettingsWrongType = 4003,
+    SettingsOutOfRange = 4004,
+    SettingsMissing = 4005,
+    CommandLine = 4010,
+
+    ListsSyntax = 5000,
+    ListsUnknownField = 5001,
+    ListsWrongType = 5002,
+    ListsOutOfRange = 5003,
+    ListsUnknownPlan = 5004,
+    ListsConflict = 5010,
+    ListsNotConfirmed = 5011,
+    PlatformUnreachable = 5020,
+    HostUnreachable = 5021,
+};
+
+// One row of the table of codes.
+struct ResultCodeInfo
+{
+    ResultCode code;
+    std::string_view name;
+    ResultClass resultClass;
+    int httpStatus;
+    std::string_view text;
+};
+
+// Returns the whole table in ascending order of number. Thread-safe.
+const std::vector<ResultCodeInfo> &resultCodeTable();
+
+// Returns the row of `code`. Precondition: `code` is an enumerator. Thread-safe.
+const ResultCodeInfo &infoOf(ResultCode code);
+
+// Returns "done", "refused, not run" or "outcome unknown". Thread-safe.
+std::string_view nameOf(ResultClass resultClass);
+
+} // namespace goldcrestline::core
--- /dev/null
+++ b/packages/core/snapshot_id.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace goldcrestline::core {
+
+// Names one snapshot of a service's index: its version and the map of its shards.
+struct SnapshotId
+{
+    std::uint64_t indexVersion = 0;
+    std::uint32_t shardMap = 0;
+
+    auto operator<=>(const SnapshotId &) const = default;
+
+    // Returns "version.map". Thread-safe.
+    std::string text() const
+    {
+        return std::to_string(indexVersion) + "." + std::to_string(shardMap);
+    }
+};
+
+} // namespace goldcrestline::core
--- /dev/null
+++ b/packages/daemon/control/routes.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "daemon/engine/status_board.h"
+#include "policy/once/key.h"
+#include "ports/http_message.h"
+
+#include <memory>
+
+namespace goldcrestline::daemon::control {
+
+// Answers the control address from the status board: entry points, keys, health, status, metrics.
+// Thread-safe.
+class Routes
+{
+public:
+    // Precondition: `board` outlives this.
+    Routes(const engine::StatusBoard &board, std::shared_ptr<const policy::once::KeyIssuer> keys,
+           std::size_t entryPoints, core::Millis keyLife);
+
+    // Answers one request.
+    ports::HttpResponse answer(const ports::HttpRequest &request) const;
+
+private:
+    ports::HttpResponse entryPoints(const std::string &query) const;
+    ports::HttpResponse keysFor(const std::string &query) const;
+    ports::HttpResponse health() const;
+    ports::HttpResponse status() const;
+
+    const engine::StatusBoard &m_board;
+    std::shared_ptr<const policy::once::KeyIssuer> m_keys;
+    std::size_t m_entryPoints;
+    core::Millis m_keyLife;
+};
+
+} // namespace goldcrestline::daemon::control
--- /dev/null
+++ b/packages/daemon/engine/document_sync.cpp
@@ -0,0 +1,163 @@
+#include "daemon/engine/document_sync.h"
+
+#include "adapters/logging/log.h"
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace goldcrestline::daemon::engine {
+
+using core::TimePoint;
+using ports::DocumentKind;
+
+namespace {
+
+constexpr adapters::logging::LogChannel log("documents:");
+
+constexpr core::Duration firstPause = std::chrono::milliseconds(200);
+constexpr core::Duration longestPause = std::chrono::seconds(2);
+constexpr core::Millis fetchTimeout{1000};
+
+} // namespace
+
+DocumentSync::DocumentSync(HostState &host, ports::PlatformStore &platform, ports::PeerLink &peers,
+                           std::function<void(TimePoint)> onFleet)
+    : m_host(host), m_platform(platform), m_peers(peers),
+      m_onFleet(std::move(onFleet)), m_lists{DocumentKind::Lists, "config/lists", false, {}, {}},
+      m_fleet{DocumentKind::Fleet, "fleet/servers", false, {}, {}}
+{ }
+
+bool DocumentSync::shouldWatch() const
+{
+    // The same few hosts in every view that agrees; a wrong view only adds watchers.
+    const auto &self = m_host.members.self();
+    const auto own = core::rendezvousWeight(self.name, "watchers");
+    const auto hosts = m_host.members.live();
+    const auto heavier = std::count_if(hosts.begin(), hosts.end(), [&](const auto &it) {
+        return !it.leaving && core::rendezvousWeight(it.name, "watchers") > own;
+    });
+    return heavier < m_host.settings->platform.watchers.value;
+}
+
+void DocumentSync::tick(TimePoint now)
+{
+    m_watching = shouldWatch();
+    // A host without documents asks for itself; later it relies on its peers.
+    if (m_watching || !m_host.lists)
+        start(m_lists, now);
+    if (m_watching || !m_host.fleet)
+        start(m_fleet, now);
+}
+
+void DocumentSync::start(Watch &watch, TimePoint now)
+{
+    if (watch.active || now < watch.nextAt)
+        return;
+    watch.active = true;
+    const auto version = watch.kind == DocumentKind::Lists ? m_listsVersion : m_fleetVersion;
+    m_platform.watch(watch.name, version, m_host.settings->platform.watchMs.millis(),
+                     [this, &watch, now](core::Result<ports::StoredObject> object) {
+                         onWatched(watch, now, std::move(object));
+                     });
+}
+
+void DocumentSync::onWatched(Watch &watch, TimePoint sentAt,
+                             core::Result<ports::StoredObject> object)
+{
+    const auto now = core::Clock::now();
+    watch.active = false;
+    if (!object.has_value()) {
+        watch.pause = std::min(longestPause, std::max(firstPause, 2 * watch.pause));
+        watch.nextAt = now + watch.pause;
+        return;
+    }
+    watch.pause = {};
+    m_platformAnsweredAt = now;
+    const auto &stored = object.value();
+    const bool isLists = watch.kind == DocumentKind::Lists;
+    if (stored.version != 0) {
+        auto &version = isLists ? m_listsVersion : m_fleetVersion;
+        version = std::max(version, stored.version);
+        take(watch.kind, stored.text, now);
+    }
+    // Only the lists' watch proves that no newer lists were accepted before it was sent.
+    if (isLists)
+        m_host.freshness.onPlatform(sentAt);
+    if (stored.version == 0 && (isLists ? !m_host.lists : !m_host.fleet))
+        watch.nextAt = now + firstPause;
+    if (m_watching)
+        start(watch, now);
+}
+
+void DocumentSync::onPeerRevisions(const std::string &address, const ports::Gossip &gossip)
+{
+    m_host.highestListsRevision = std::max(m_host.highestListsRevision, gossip.listsRevision);
+    if (gossip.listsRevision > m_host.listsDocument.revision() && !m_fetchingLists) {
+        m_fetchingLists = true;
+        fetch(address, DocumentKind::Lists);
+    }
+    if (gossip.fleetRevision > m_host.fleetDocument.revision() && !m_fetchingFleet) {
+        m_fetchingFleet = true;
+        fetch(address, DocumentKind::Fleet);
+    }
+}
+
+void DocumentSync::fetch(const std::string &address, DocumentKind kind)
+{
+    m_peers.call(address, ports::FetchRequest{kind}, fetchTimeout,
+                 [this, kind](const ports::PeerResult &result) {
+                     (kind == DocumentKind::Lists ? m_fetchingLists : m_fetchingFleet) = false;
+                     if (result.end != ports::PeerEnd::Answered)
+                         return;
+                     const auto &answer = std::get<ports::FetchAnswer>(result.answer);
+                     if (answer.revision != 0)
+                         take(kind, answer.text, core::Clock::now());
+                 });
+}
+
+ports::FetchAnswer DocumentSync::answer(DocumentKind kind) const
+{
+    const auto &document =
+        kind == DocumentKind::Lists ? m_host.listsDocument : m_host.fleetDocument;
+    return {kind, document.revision(), document.text()};
+}
+
+void DocumentSync::take(DocumentKind kind, const std::string &text, TimePoint now)
+{
+    if (kind == DocumentKind::Lists)
+        takeLists(text);
+    else
+        takeFleet(text, now);
+}
+
+void DocumentSync::takeLists(const std::string &text)
+{
+    auto lists = policy::config::parseLists(text);
+    if (!lists.has_value()) {
+        log.error("lists refused: " + lists.error().text());
+        return;
+    }
+    const auto revision = lists.value().revision;
+    m_host.highestListsRevision = std::max(m_host.highestListsRevision, revision);
+    if (!m_host.listsDocument.offer(revision, text))
+        return;
+    m_host.lists = std::make_shared<const policy::config::Lists>(std::move(lists.value()));
+    log.info("lists in force revision=" + std::to_string(revision));
+}
+
+void DocumentSync::takeFleet(const std::string &text, TimePoint now)
+{
+    auto fleet = policy::routing::parseFleet(text);
+    if (!fleet.has_value()) {
+        log.error("fleet refused: " + fleet.error().text());
+        return;
+    }
+    const auto revision = fleet.value().revision;
+    if (!m_host.fleetDocument.offer(revision, text))
+        return;
+    m_host.fleet = std::make_shared<const policy::routing::Fleet>(std::move(fleet.value()));
+    log.info("fleet in force revision=" + std::to_string(revision));
+    m_onFleet(now);
+}
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/engine/host_state.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "adapters/settings/settings.h"
+#include "core/clock.h"
+#include "daemon/engine/timer_queue.h"
+#include "policy/config/document.h"
+#include "policy/config/freshness.h"
+#include "policy/config/lists.h"
+#include "policy/membership/member_table.h"
+#include "policy/once/key.h"
+#include "policy/routing/fleet.h"
+
+#include <memory>
+#include <random>
+
+namespace goldcrestline::daemon::engine {
+
+// State that the parts of the engine share. Owned by the engine's task.
+struct HostState
+{
+    HostState(std::shared_ptr<const adapters::settings::Settings> settings,
+              policy::membership::MemberTable members,
+              std::shared_ptr<const policy::once::KeyIssuer> keys)
+        : settings(std::move(settings)), members(std::move(members)), keys(std::move(keys)),
+          freshness(this->settings->peers.confirmationMs.millis())
+    { }
+
+    std::shared_ptr<const adapters::settings::Settings> settings;
+    policy::membership::MemberTable members;
+    std::shared_ptr<const policy::once::KeyIssuer> keys;
+    policy::config::Freshness freshness;
+    policy::config::Document listsDocument;
+    policy::config::Document fleetDocument;
+    std::shared_ptr<const policy::config::Lists> lists;
+    std::shared_ptr<const policy::routing::Fleet> fleet;
+    // Highest revision of the lists that any host or the platform spoke of.
+    std::uint64_t highestListsRevision = 0;
+    bool refusingNewWork = false;
+    TimerQueue timers;
+    std::mt19937 random{std::random_device{}()};
+
+    // Returns a uniform number in [0, n). Precondition: n > 0.
+    unsigned below(unsigned n) { return std::uniform_int_distribution<unsigned>(0, n - 1)(random); }
+
+    // Tells whether the lists held may be older than an accepted change.
+    bool behind(core::TimePoint now) const
+    {
+        return listsDocument.revision() < highestListsRevision
+            || !freshness.mayServe(members.known(), now);
+    }
+};
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/engine/peer_service.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "daemon/engine/document_sync.h"
+#include "daemon/engine/host_state.h"
+#include "daemon/engine/plan_limits.h"
+#include "daemon/engine/query_service.h"
+#include "daemon/engine/request_service.h"
+#include "ports/peer_link.h"
+
+namespace goldcrestline::daemon::engine {
+
+// Runs the membership protocol and answers calls from other hosts. Owned by the engine's task.
+class PeerService
+{
+public:
+    // Precondition: all arguments outlive this.
+    PeerService(HostState &host, ports::PeerLink &link, DocumentSync &documents,
+                QueryService &queries, RequestService &requests, PlanLimits &limits);
+
+    // Runs one period of the protocol.
+    void tick(core::TimePoint now);
+
+    // Exchanges news with every live host now, as before this host stops.
+    void exchangeWithAll(core::TimePoint now);
+
+    // Answers a call from another host.
+    void handle(ports::PeerCall call, core::TimePoint now);
+
+private:
+    ports::Gossip gossip(bool wholeTable, core::TimePoint now);
+    void exchange(const std::string &name, const std::string &address, bool wholeTable,
+                  core::TimePoint now);
+    void onExchanged(const std::string &name, const std::string &address, core::TimePoint sentAt,
+                     const ports::PeerResult &result);
+    void probeIndirectly(const policy::membership::IndirectProbe &probe);
+    void apply(const std::vector<policy::membership::Action> &actions, core::TimePoint now);
+    void takeNews(const ports::Gossip &news, core::TimePoint now);
+
+    void answer(ports::Gossip &request, ports::PeerCall &call, core::TimePoint now);
+    void answer(ports::ProbeRequest &request, ports::PeerCall &call, core::TimePoint now);
+    void answer(ports::FetchRequest &request, ports::PeerCall &call, core::TimePoint now);
+    void answer(ports::RunRequest &request, ports::PeerCall &call, core::TimePoint now);
+    void answer(ports::BorrowRequest &request, ports::PeerCall &call, core::TimePoint now);
+    void answer(ports::AdoptRequest &request, ports::PeerCall &call, core::TimePoint now);
+
+    HostState &m_host;
+    ports::PeerLink &m_link;
+    DocumentSync &m_documents;
+    QueryService &m_queries;
+    RequestService &m_requests;
+    PlanLimits &m_limits;
+};
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/engine/plan_limits.cpp
@@ -0,0 +1,109 @@
+#include "daemon/engine/plan_limits.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace goldcrestline::daemon::engine {
+
+using core::TimePoint;
+using policy::limits::Admission;
+
+namespace {
+
+constexpr core::Millis defaultRetryAfter{250};
+
+} // namespace
+
+PlanLimits::PlanLimits(HostState &host, ports::PeerLink &peers)
+    : m_host(host), m_peers(peers), m_lender(m_times)
+{ }
+
+PlanLimits::PlanState &PlanLimits::stateOf(const std::string &plan, TimePoint now)
+{
+    const auto it = m_plans.find(plan);
+    if (it != m_plans.end())
+        return it->second;
+    return m_plans.emplace(plan, PlanState{policy::limits::Borrower(m_times, now), {}, 0})
+        .first->second;
+}
+
+void PlanLimits::admit(const std::string &plan, double ratePerSecond, TimePoint now,
+                       Decision decision)
+{
+    auto &state = stateOf(plan, now);
+    state.ratePerSecond = ratePerSecond;
+    switch (state.borrower.admit(now)) {
+    case Admission::Admitted:
+        return decision(true, now);
+    case Admission::Refused:
+        return decision(false, now);
+    case Admission::AskLender:
+        state.held.push_back(std::move(decision));
+        return askLender(plan, state, now);
+    }
+}
+
+policy::membership::Member PlanLimits::lenderOf(const std::string &plan) const
+{
+    auto hosts = m_host.members.live();
+    const auto weight = [&](const policy::membership::Member &it) {
+        // A stopping host keeps lending until it left, so that it hands over only once.
+        return core::rendezvousWeight(it.name, plan);
+    };
+    return *std::max_element(hosts.begin(), hosts.end(),
+                             [&](const auto &a, const auto &b) { return weight(a) < weight(b); });
+}
+
+void PlanLimits::askLender(const std::string &plan, PlanState &state, TimePoint now)
+{
+    const int wanted = state.borrower.ask(state.held.size());
+    if (wanted == 0)
+        return;
+    const auto lender = lenderOf(plan);
+    if (lender.name == m_host.members.self().name) {
+        state.borrower.onLoan(m_lender.lend(plan, state.ratePerSecond, wanted, now), now);
+        return release(state, now);
+    }
+    const auto timeout = std::chrono::duration_cast<core::Millis>(m_times.lenderTimeout);
+    m_peers.call(lender.peersAddress, ports::BorrowRequest{plan, wanted}, timeout,
+                 [this, plan](const ports::PeerResult &result) {
+                     const auto answeredAt = core::Clock::now();
+                     auto &state = stateOf(plan, answeredAt);
+                     if (result.end == ports::PeerEnd::Answered) {
+                         const auto &answer = std::get<ports::BorrowAnswer>(result.answer);
+                         state.borrower.onLoan(answer.tokens, answeredAt);
+                     } else {
+                         state.borrower.onLenderSilent();
+                     }
+                     release(state, answeredAt);
+                 });
+}
+
+void PlanLimits::release(PlanState &state, TimePoint now)
+{
+    auto held = std::exchange(state.held, {});
+    for (auto &decision : held) {
+        const auto hosts = m_host.members.live().size();
+        const auto admission = state.borrower.retry(state.ratePerSecond, hosts, now);
+        decision(admission == Admission::Admitted, now);
+    }
+}
+
+int PlanLimits::lend(const std::string &plan, int wanted, TimePoint now)
+{
+    if (!m_host.lists)
+        return 0;
+    const auto it = m_host.lists->plans.find(plan);
+    if (it == m_host.lists->plans.end())
+        return 0;
+    return m_lender.lend(plan, it->second.ratePerSecond, std::max(0, wanted), now);
+}
+
+core::Millis PlanLimits::retryAfter(const std::string &plan) const
+{
+    const auto it = m_plans.find(plan);
+    return it == m_plans.end() ? defaultRetryAfter : it->second.borrower.retryAfter();
+}
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/engine/service_state.cpp
@@ -0,0 +1,95 @@
+#include "daemon/engine/service_state.h"
+
+#include <algorithm>
+
+namespace goldcrestline::daemon::engine {
+
+using core::TimePoint;
+
+namespace {
+
+constexpr core::Duration latencyWindow = std::chrono::seconds(5);
+constexpr double unknownHedgeDelayMs = 30;
+constexpr double shortestHedgeDelayMs = 2;
+constexpr double budgetBurst = 10;
+constexpr double initialQueries = 16;
+
+policy::fanout::AttemptId nextAttempt()
+{
+    static policy::fanout::AttemptId last = 0;
+    return ++last;
+}
+
+} // namespace
+
+ServiceState::ServiceState(std::string name, HostState &host)
+    : servers(host.settings->host.zone.value, routingLimits(),
+              [&host](unsigned n) { return host.below(n); }),
+      limiter(
+          std::min(initialQueries, static_cast<double>(host.settings->queries.concurrent.value)),
+          static_cast<double>(host.settings->queries.concurrent.value)),
+      hedgeBudget(host.settings->queries.hedgeShare.value, budgetBurst),
+      retryBudget(host.settings->queries.retryShare.value, budgetBurst),
+      latency(host.settings->queries.hedgeQuantile.value, latencyWindow), m_name(std::move(name)),
+      m_host(host), m_hooks(makeHooks())
+{ }
+
+void ServiceState::update(const policy::routing::ServiceRecord &record, TimePoint now)
+{
+    m_sharded = record.sharded;
+    m_snapshots = record.snapshots;
+    servers.update(record, now);
+}
+
+const policy::routing::Snapshot *ServiceState::pin(TimePoint now) const
+{
+    return servers.newestUsable(m_snapshots, std::nullopt, now);
+}
+
+int ServiceState::connectionShare(const policy::routing::ServerRecord &record) const
+{
+    const auto planned = m_host.settings->peers.hostsAtMost.value;
+    const auto known = static_cast<std::int64_t>(m_host.members.known());
+    return static_cast<int>(record.connections / std::max(planned, known));
+}
+
+policy::routing::RoutingLimits ServiceState::routingLimits() const
+{
+    policy::routing::RoutingLimits limits;
+    limits.connectionShare = [this](const policy::routing::ServerRecord &record) {
+        return connectionShare(record);
+    };
+    return limits;
+}
+
+policy::fanout::Hooks ServiceState::makeHooks()
+{
+    policy::fanout::Hooks hooks;
+    hooks.pick = [this](int group, const auto &exclude, core::SnapshotId snapshot, TimePoint now) {
+        return servers.pick(group, exclude, snapshot, now);
+    };
+    hooks.mayHedge = [this](int group, TimePoint now) {
+        if (servers.groupSheds(group, now) || !hedgeBudget.spend())
+            return false;
+        ++counters.hedges;
+        return true;
+    };
+    hooks.mayRetry = [this](int group, TimePoint now) {
+        if (servers.allShed(group, now) || !retryBudget.spend())
+            return false;
+        ++counters.retries;
+        return true;
+    };
+    hooks.hedgeDelay = [this](TimePoint now) {
+        const double ms = std::max(shortestHedgeDelayMs, latency.value(unknownHedgeDelayMs, now));
+        return std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double, std::milli>(ms));
+    };
+    hooks.olderSnapshot = [this](core::SnapshotId id, TimePoint now) {
+        return servers.newestUsable(m_snapshots, id, now);
+    };
+    hooks.nextAttempt = nextAttempt;
+    return hooks;
+}
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/engine/service_state.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/quantile_window.h"
+#include "daemon/engine/host_state.h"
+#include "policy/admission/service_limiter.h"
+#include "policy/fanout/fanout.h"
+#include "policy/retry/budget.h"
+#include "policy/routing/server_table.h"
+
+#include <string>
+#include <vector>
+
+namespace goldcrestline::daemon::engine {
+
+// Counters of one service since the start.
+struct ServiceCounters
+{
+    std::uint64_t queries = 0;
+    std::uint64_t full = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t inTime = 0;
+    std::uint64_t late = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t sheds = 0;
+    std::uint64_t cancels = 0;
+    std::uint64_t joined = 0;
+    double coverageSum = 0;
+};
+
+// What this host keeps of one service. Owned by the engine's task.
+class ServiceState
+{
+public:
+    ServiceState(std::string name, HostState &host);
+    ServiceState(const ServiceState &) = delete;
+    ServiceState &operator=(const ServiceState &) = delete;
+
+    // Takes the service's record from a new fleet list.
+    void update(const policy::routing::ServiceRecord &record, core::TimePoint now);
+
+    // Returns the newest snapshot that may be pinned, or null.
+    const policy::routing::Snapshot *pin(core::TimePoint now) const;
+
+    // Returns the share of a server's connections that this host may open.
+    int connectionShare(const policy::routing::ServerRecord &record) const;
+
+    const policy::fanout::Hooks &hooks() const { return m_hooks; }
+    const std::string &name() const { return m_name; }
+    bool sharded() const { return m_sharded; }
+
+    policy::routing::ServerTable servers;
+    policy::admission::ServiceLimiter limiter;
+    policy::retry::Budget hedgeBudget;
+    policy::retry::Budget retryBudget;
+    core::QuantileWindow latency;
+    ServiceCounters counters;
+
+private:
+    policy::routing::RoutingLimits routingLimits() const;
+    policy::fanout::Hooks makeHooks();
+
+    std::string m_name;
+    HostState &m_host;
+    bool m_sharded = true;
+    std::vector<policy::routing::Snapshot> m_snapshots;
+    policy::fanout::Hooks m_hooks;
+};
+
+} // namespace goldcrestline::daemon::engine
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,140 @@
+#include "adapters/callers/caller_server.h"
+#include "adapters/control/control_server.h"
+#include "adapters/logging/log.h"
+#include "adapters/peers/peer_thread.h"
+#include "adapters/settings/settings.h"
+#include "core/hash.h"
+#include "daemon/control/routes.h"
+#include "daemon/engine/engine.h"
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace goldcrestline::daemon {
+
+namespace {
+
+constexpr adapters::logging::LogChannel log("daemon:");
+
+constexpr int exitBadSettings = 2;
+constexpr int exitCannotStart = 3;
+constexpr int secretBytes = 32;
+
+struct Arguments
+{
+    std::string config;
+    bool check = false;
+    bool help = false;
+    std::string helpText;
+};
+
+core::Result<Arguments> readArguments(int argc, char **argv)
+{
+    cxxopts::Options options("goldcrestlined", "Entry host of the goldcrestline query tier.");
+    options.add_options()("config", "settings file in TOML", cxxopts::value<std::string>())(
+        "check", "check the settings and exit")("help", "print this text");
+    try {
+        const auto parsed = options.parse(argc, argv);
+        Arguments arguments;
+        arguments.help = parsed.count("help") != 0;
+        arguments.helpText = options.help();
+        arguments.check = parsed.count("check") != 0;
+        if (parsed.count("config") != 0)
+            arguments.config = parsed["config"].as<std::string>();
+        else if (!arguments.help)
+            return core::Error{core::ResultCode::CommandLine, "--config FILE is missing"};
+        return arguments;
+    } catch (const std::exception &e) {
+        return core::Error{core::ResultCode::CommandLine, e.what()};
+    }
+}
+
+adapters::logging::Level levelOf(const std::string &name)
+{
+    using adapters::logging::Level;
+    if (name == "debug")
+        return Level::Debug;
+    if (name == "warning")
+        return Level::Warning;
+    return name == "error" ? Level::Error : Level::Info;
+}
+
+int serve(const std::shared_ptr<const adapters::settings::Settings> &settings)
+{
+    // Threads inherit the mask, so that only this thread takes the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    const auto keys = std::make_shared<const policy::once::KeyIssuer>(
+        settings->host.name.value, static_cast<std::uint64_t>(core::wallNow()),
+        core::randomHex(secretBytes));
+    const auto &callers = settings->callers;
+    engine::StatusBoard board;
+    engine::Engine engine(settings, keys, board);
+    adapters::callers::CallerLimits limits{static_cast<std::uint64_t>(callers.bodyBytes.value),
+                                           callers.readMs.millis(), callers.idleMs.millis()};
+    adapters::callers::CallerServer callerServer(
+        settings->listen.callers.value, limits, [&engine](adapters::callers::CallerEvent event) {
+            std::visit([&](auto &it) { engine.post(std::move(it)); }, event);
+        });
+    adapters::peers::PeerThread peers(
+        settings->listen.peers.value, [&engine](adapters::peers::PeerEvent event) {
+            std::visit([&](auto &it) { engine.post(std::move(it)); }, event);
+        });
+    control::Routes routes(board, keys, static_cast<std::size_t>(callers.entryPoints.value),
+                           callers.keyLifeMs.millis());
+    adapters::control::ControlServer controlServer(
+        settings->listen.control.value,
+        [&routes](const ports::HttpRequest &request) { return routes.answer(request); });
+    engine.start(callerServer, peers);
+    log.info("ready callers=" + settings->listen.callers.value
+             + " control=" + settings->listen.control.value);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    engine.post(engine::StopRequested{});
+    engine.waitUntilStopped();
+    log.info("stopped");
+    return 0;
+}
+
+int run(int argc, char **argv)
+{
+    const auto arguments = readArguments(argc, argv);
+    if (!arguments.has_value()) {
+        std::cerr << arguments.error().text() << '\n';
+        return exitBadSettings;
+    }
+    if (arguments.value().help) {
+        std::cout << arguments.value().helpText;
+        return 0;
+    }
+    const auto settings = adapters::settings::loadSettings(arguments.value().config);
+    if (!settings.has_value()) {
+        std::cerr << settings.error().text() << '\n';
+        return exitBadSettings;
+    }
+    if (arguments.value().check) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    adapters::logging::configure(levelOf(settings.value()->log.level.value));
+    try {
+        return serve(settings.value());
+    } catch (const std::exception &e) {
+        log.error(std::string("cannot start: ") + e.what());
+        return exitCannotStart;
+    }
+}
+
+} // namespace
+
+} // namespace goldcrestline::daemon
+
+int main(int argc, char **argv)
+{
+    return goldcrestline::daemon::run(argc, argv);
+}
--- /dev/null
+++ b/packages/policy/config/change_writer.cpp
@@ -0,0 +1,61 @@
+#include "policy/config/change_writer.h"
+
+#include <algorithm>
+
+namespace goldcrestline::policy::config {
+
+using core::Error;
+using core::ResultCode;
+
+ChangeWriter::ChangeWriter(Lists edit, std::optional<std::uint64_t> base, std::string changeId,
+                           std::string author)
+    : m_edit(std::move(edit)), m_base(base), m_changeId(std::move(changeId)),
+      m_author(std::move(author))
+{ }
+
+WriterStep ChangeWriter::onRead(std::uint64_t version, const std::string &text,
+                                core::WallMillis now)
+{
+    Lists current;
+    if (version != 0) {
+        auto parsed = parseLists(text);
+        if (!parsed.has_value())
+            return NotApplied{parsed.error()};
+        current = std::move(parsed.value());
+    }
+    const auto own = std::find_if(current.history.begin(), current.history.end(),
+                                  [&](const Change &it) { return it.changeId == m_changeId; });
+    if (own != current.history.end())
+        return Accepted{own->revision};
+    // A write in doubt expected an older version, so it can no longer take effect.
+    if (m_base && *m_base != current.revision) {
+        const auto author = current.history.empty() ? "nobody" : current.history.back().author;
+        return NotApplied{Error{ResultCode::ListsConflict,
+                                "the lists are at revision " + std::to_string(current.revision)
+                                    + " by " + author + ", the change was made on "
+                                    + std::to_string(*m_base)}};
+    }
+    const auto next = nextRevision(current, m_edit, m_changeId, m_author, now);
+    m_nextRevision = next.revision;
+    return WriteLists{version, printLists(next)};
+}
+
+WriterStep ChangeWriter::onWritten(WriteReport report)
+{
+    switch (report) {
+    case WriteReport::Written:
+        return Accepted{m_nextRevision};
+    case WriteReport::Unknown:
+        m_inDoubt = true;
+        return ReadLists{};
+    case WriteReport::Conflict:
+        return ReadLists{};
+    case WriteReport::Refused:
+        if (m_inDoubt)
+            return ReadLists{};
+        return NotApplied{Error{ResultCode::PlatformUnreachable, "the platform refused the write"}};
+    }
+    return ReadLists{};
+}
+
+} // namespace goldcrestline::policy::config
--- /dev/null
+++ b/packages/policy/config/lists.cpp
@@ -0,0 +1,263 @@
+#include "policy/config/lists.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace goldcrestline::policy::config {
+
+using core::Error;
+using core::ResultCode;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t historyLength = 400;
+constexpr double maximumRate = 1e6;
+constexpr int maximumDeadlineMs = 60000;
+constexpr std::size_t maximumNameLength = 128;
+
+// Reads fields of one JSON object and remembers the first error.
+class FieldReader
+{
+public:
+    FieldReader(const json &object, std::string path) : m_object(object), m_path(std::move(path))
+    {
+        if (!m_object.is_object())
+            fail(ResultCode::ListsWrongType, "", "an object");
+    }
+
+    void number(const char *key, double low, double high, double &out)
+    {
+        m_known.insert(key);
+        if (!has(key))
+            return;
+        const auto &value = m_object[key];
+        if (!value.is_number())
+            return fail(ResultCode::ListsWrongType, key, "a number");
+        const double n = value.get<double>();
+        if (!(n >= low && n <= high))
+            return fail(ResultCode::ListsOutOfRange, key,
+                        std::to_string(low) + " to " + std::to_string(high));
+        out = n;
+    }
+
+    void millis(const char *key, core::Millis &out)
+    {
+        double n = static_cast<double>(out.count());
+        number(key, 1, maximumDeadlineMs, n);
+        out = core::Millis(static_cast<std::int64_t>(n));
+    }
+
+    void text(const char *key, std::string &out)
+    {
+        m_known.insert(key);
+        if (!has(key))
+            return;
+        const auto &value = m_object[key];
+        if (!value.is_string() || value.get_ref<const std::string &>().size() > maximumNameLength)
+            return fail(ResultCode::ListsWrongType, key, "a string of at most 128 bytes");
+        out = value.get<std::string>();
+    }
+
+    template <typename Enum, std::size_t N>
+    void name(const char *key, const core::NameTable<Enum, N> &table, Enum &out)
+    {
+        std::string value(core::nameIn(table, out));
+        text(key, value);
+        const auto found = core::valueIn(table, value);
+        if (!found)
+            return fail(ResultCode::ListsOutOfRange, key, "a known name, not '" + value + "'");
+        out = *found;
+    }
+
+    const json &object(const char *key)
+    {
+        static const json empty = json::object();
+        m_known.insert(key);
+        if (!has(key))
+            return empty;
+        if (!m_object[key].is_object()) {
+            fail(ResultCode::ListsWrongType, key, "an object");
+            return empty;
+        }
+        return m_object[key];
+    }
+
+    void allow(const char *key) { m_known.insert(key); }
+
+    // Returns the first error, unknown fields included.
+    std::optional<Error> finish()
+    {
+        if (m_error || !m_object.is_object())
+            return m_error;
+        for (const auto &it : m_object.items()) {
+            if (m_known.count(it.key()) == 0)
+                return Error{ResultCode::ListsUnknownField, "unknown field " + m_path + it.key()};
+        }
+        return std::nullopt;
+    }
+
+private:
+    bool has(const char *key) const { return m_object.is_object() && m_object.contains(key); }
+
+    void fail(ResultCode code, const std::string &key, const std::string &expected)
+    {
+        if (!m_error)
+            m_error = Error{code, m_path + key + " must be " + expected};
+    }
+
+    const json &m_object;
+    std::string m_path;
+    std::set<std::string> m_known;
+    std::optional<Error> m_error;
+};
+
+std::optional<Error> readAllowance(const json &object, const std::string &path, Allowance &out)
+{
+    FieldReader reader(object, path);
+    reader.name("priority", priorityNames, out.priority);
+    reader.name("prefer", preferenceNames, out.prefer);
+    reader.millis("deadline_ms", out.deadline);
+    out.answerAfter = out.deadline / 2;
+    reader.millis("answer_after_ms", out.answerAfter);
+    reader.number("coverage_floor", 0, 1, out.coverageFloor);
+    return reader.finish();
+}
+
+std::optional<Error> readPlan(const json &object, const std::string &path, Plan &out)
+{
+    FieldReader reader(object, path);
+    reader.number("rate_per_s", 0, maximumRate, out.ratePerSecond);
+    const auto &services = reader.object("services");
+    for (const auto &it : services.items()) {
+        const auto error =
+            readAllowance(it.value(), path + "services." + it.key() + ".", out.services[it.key()]);
+        if (error)
+            return error;
+    }
+    return reader.finish();
+}
+
+std::optional<Error> readCustomers(const json &customers, Lists &out)
+{
+    for (const auto &it : customers.items()) {
+        FieldReader reader(it.value(), "customers." + it.key() + ".");
+        std::string plan;
+        reader.text("plan", plan);
+        if (auto error = reader.finish())
+            return error;
+        if (out.plans.count(plan) == 0)
+            return Error{ResultCode::ListsUnknownPlan,
+                         "customers." + it.key() + ".plan names '" + plan + "', which is no plan"};
+        out.planOfCustomer[it.key()] = plan;
+    }
+    return std::nullopt;
+}
+
+std::vector<Change> readHistory(const json &object)
+{
+    std::vector<Change> history;
+    for (const auto &it : object.value("history", json::array())) {
+        history.push_back({it.value("change_id", ""), it.value("author", ""),
+                           it.value("revision", std::uint64_t{0}),
+                           it.value("accepted_at_ms", core::WallMillis{0})});
+    }
+    return history;
+}
+
+json editablePart(const Lists &lists)
+{
+    json object{{"customers", json::object()}, {"plans", json::object()}};
+    for (const auto &[customer, plan] : lists.planOfCustomer)
+        object["customers"][customer] = {{"plan", plan}};
+    for (const auto &[name, plan] : lists.plans) {
+        json services = json::object();
+        for (const auto &[service, it] : plan.services) {
+            services[service] = {{"priority", core::nameIn(priorityNames, it.priority)},
+                                 {"prefer", core::nameIn(preferenceNames, it.prefer)},
+                                 {"deadline_ms", it.deadline.count()},
+                                 {"answer_after_ms", it.answerAfter.count()},
+                                 {"coverage_floor", it.coverageFloor}};
+        }
+        object["plans"][name] = {{"rate_per_s", plan.ratePerSecond}, {"services", services}};
+    }
+    return object;
+}
+
+} // namespace
+
+const Plan *Lists::planFor(const std::string &customer) const
+{
+    const auto it = planOfCustomer.find(customer);
+    if (it == planOfCustomer.end())
+        return nullptr;
+    const auto plan = plans.find(it->second);
+    return plan == plans.end() ? nullptr : &plan->second;
+}
+
+bool Lists::holdsChange(std::string_view changeId) const
+{
+    return std::any_of(history.begin(), history.end(),
+                       [&](const Change &it) { return it.changeId == changeId; });
+}
+
+core::Result<Lists> parseLists(std::string_view text)
+{
+    const json object = json::parse(text, nullptr, false);
+    if (object.is_discarded())
+        return Error{ResultCode::ListsSyntax, "the text is not valid JSON"};
+    Lists lists;
+    FieldReader reader(object, "");
+    reader.allow("revision");
+    reader.allow("history");
+    const auto &plans = reader.object("plans");
+    const auto &customers = reader.object("customers");
+    if (auto error = reader.finish())
+        return *error;
+    for (const auto &it : plans.items()) {
+        if (auto error = readPlan(it.value(), "plans." + it.key() + ".", lists.plans[it.key()]))
+            return *error;
+    }
+    if (auto error = readCustomers(customers, lists))
+        return *error;
+    try {
+        lists.revision = object.value("revision", std::uint64_t{0});
+        lists.history = readHistory(object);
+    } catch (const json::exception &) {
+        return Error{ResultCode::ListsWrongType, "revision or history has the wrong type"};
+    }
+    return lists;
+}
+
+std::string printLists(const Lists &lists)
+{
+    json object = editablePart(lists);
+    object["revision"] = lists.revision;
+    object["history"] = json::array();
+    for (const auto &it : lists.history) {
+        object["history"].push_back({{"change_id", it.changeId},
+                                     {"author", it.author},
+                                     {"revision", it.revision},
+                                     {"accepted_at_ms", it.acceptedAt}});
+    }
+    return object.dump();
+}
+
+std::string printEditablePart(const Lists &lists)
+{
+    return editablePart(lists).dump(2);
+}
+
+Lists nextRevision(const Lists &current, Lists edit, std::string changeId, std::string author,
+                   core::WallMillis now)
+{
+    edit.revision = current.revision + 1;
+    edit.history = current.history;
+    edit.history.push_back({std::move(changeId), std::move(author), edit.revision, now});
+    if (edit.history.size() > historyLength)
+        edit.history.erase(edit.history.begin());
+    return edit;
+}
+
+} // namespace goldcrestline::policy::config
--- /dev/null
+++ b/packages/policy/limits/lending.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/clock.h"
+#include "policy/limits/token_bucket.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+// Plan limits over the whole fleet: one host lends each plan's tokens in short batches.
+namespace goldcrestline::policy::limits {
+
+// How loans are sized and how long they are good for.
+struct LendingTimes
+{
+    // Longest time over which an unused token may still be spent.
+    core::Duration loanLife = std::chrono::milliseconds(400);
+    // Demand that one loan covers.
+    core::Duration batch = std::chrono::milliseconds(200);
+    // Time's worth of rate that the lender's bucket keeps.
+    core::Duration burst = std::chrono::milliseconds(300);
+    // Wait for the lender's answer, after which the host's own share is used.
+    core::Duration lenderTimeout = std::chrono::milliseconds(100);
+};
+
+// The lending side of one host. Not thread-safe.
+class Lender
+{
+public:
+    explicit Lender(LendingTimes times) : m_times(times) { }
+
+    // Lends up to `wanted` tokens of `plan`. A bucket that is new here starts full, so a change of
+    // lender admits at most one more burst.
+    int lend(const std::string &plan, double ratePerSecond, int wanted, core::TimePoint now);
+
+private:
+    LendingTimes m_times;
+    std::map<std::string, TokenBucket> m_buckets;
+};
+
+// What the borrowing side answers for one request.
+enum class Admission { Admitted, Refused, AskLender };
+
+// The borrowing side of one host and plan. Not thread-safe.
+class Borrower
+{
+public:
+    explicit Borrower(LendingTimes times, core::TimePoint now)
+        : m_times(times), m_own(0, 0, now), m_windowAt(now)
+    { }
+
+    // Counts the request as demand and takes a token if one is here. AskLender: hold the request
+    // until the lender answered, then call retry().
+    Admission admit(core::TimePoint now);
+
+    // Takes a token for a held request, from loans or, if the lender is silent, from the share.
+    Admission retry(double ratePerSecond, std::size_t liveHosts, core::TimePoint now);
+
+    // Returns how many tokens to ask for, or zero if an answer is awaited.
+    int ask(std::size_t held);
+
+    // Takes the lender's answer.
+    void onLoan(int tokens, core::TimePoint now);
+
+    // Notes that the lender did not answer.
+    void onLenderSilent();
+
+    // Returns when a refused caller should come back.
+    core::Millis retryAfter() const;
+
+private:
+    struct Loan
+    {
+        int tokens;
+        core::TimePoint endsAt;
+    };
+
+    bool takeLoan(core::TimePoint now);
+    void countDemand(core::TimePoint now);
+
+    LendingTimes m_times;
+    std::deque<Loan> m_loans;
+    TokenBucket m_own;
+    core::TimePoint m_windowAt;
+    int m_windowDemand = 0;
+    double m_demandPerSecond = 0;
+    bool m_asked = false;
+    bool m_lenderSilent = false;
+    core::TimePoint m_emptyUntil{};
+};
+
+} // namespace goldcrestline::policy::limits
--- /dev/null
+++ b/packages/policy/membership/member_table.cpp
@@ -0,0 +1,290 @@
+#include "policy/membership/member_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestline::policy::membership {
+
+using core::TimePoint;
+
+namespace {
+
+// Missed periods after which this process counts as having been paused.
+constexpr int pausedPeriods = 4;
+
+bool reachable(const Member &member)
+{
+    return member.state == MemberState::Alive || member.state == MemberState::Suspect;
+}
+
+} // namespace
+
+MemberTable::MemberTable(Member self, std::vector<std::string> seeds, MembershipTimes times,
+                         std::function<unsigned(unsigned)> random)
+    : m_self(std::move(self)), m_times(times), m_random(std::move(random))
+{
+    addSeeds(seeds);
+}
+
+void MemberTable::addSeeds(const std::vector<std::string> &addresses)
+{
+    for (const auto &it : addresses) {
+        const bool known = std::find(m_seeds.begin(), m_seeds.end(), it) != m_seeds.end();
+        if (!known && it != m_self.peersAddress)
+            m_seeds.push_back(it);
+    }
+}
+
+std::vector<Action> MemberTable::tick(TimePoint now)
+{
+    std::vector<Action> out;
+    const bool paused =
+        m_tickedAt != TimePoint{} && now - m_tickedAt > pausedPeriods * m_times.period;
+    if (paused) {
+        // Probes that ran out while this process was paused say nothing of the others.
+        m_probing.clear();
+        for (auto &it : m_peers) {
+            if (it.second.member.state == MemberState::Suspect)
+                it.second.changedAt = now;
+        }
+    }
+    m_tickedAt = now;
+    ++m_ticks;
+    expire(now);
+    if (const auto target = nextTarget()) {
+        m_probing.insert(*target);
+        out.push_back(Probe{*target, m_peers.at(*target).member.peersAddress});
+    }
+    const bool alone = std::none_of(m_peers.begin(), m_peers.end(),
+                                    [](const auto &it) { return reachable(it.second.member); });
+    const auto every = static_cast<std::uint64_t>(m_times.healEvery);
+    if (!alone && m_ticks % every != 0)
+        return out;
+    std::vector<std::string> addresses = m_seeds;
+    for (const auto &it : m_peers) {
+        if (it.second.member.state == MemberState::Dead)
+            addresses.push_back(it.second.member.peersAddress);
+    }
+    if (!addresses.empty())
+        out.push_back(Contact{addresses[m_random(static_cast<unsigned>(addresses.size()))]});
+    return out;
+}
+
+std::optional<std::string> MemberTable::nextTarget()
+{
+    while (!m_order.empty()) {
+        const auto name = m_order.back();
+        m_order.pop_back();
+        const auto it = m_peers.find(name);
+        if (it != m_peers.end() && reachable(it->second.member) && m_probing.count(name) == 0)
+            return name;
+    }
+    for (const auto &it : m_peers) {
+        if (reachable(it.second.member))
+            m_order.push_back(it.first);
+    }
+    for (std::size_t i = m_order.size(); i > 1; --i)
+        std::swap(m_order[i - 1], m_order[m_random(static_cast<unsigned>(i))]);
+    if (m_order.empty())
+        return std::nullopt;
+    const auto name = m_order.back();
+    m_order.pop_back();
+    if (m_probing.count(name) != 0)
+        return std::nullopt;
+    return name;
+}
+
+std::vector<Action> MemberTable::onDirectProbeFailed(const std::string &name, TimePoint now)
+{
+    std::vector<Action> out;
+    const auto it = m_peers.find(name);
+    if (it == m_peers.end() || m_probing.count(name) == 0)
+        return out;
+    std::vector<const Member *> helpers;
+    for (const auto &[helper, peer] : m_peers) {
+        if (helper != name && peer.member.state == MemberState::Alive)
+            helpers.push_back(&peer.member);
+    }
+    while (!helpers.empty() && out.size() < static_cast<std::size_t>(m_times.indirectProbes)) {
+        const auto n = m_random(static_cast<unsigned>(helpers.size()));
+        out.push_back(
+            IndirectProbe{helpers[n]->peersAddress, name, it->second.member.peersAddress});
+        helpers.erase(helpers.begin() + n);
+    }
+    if (out.empty())
+        onProbeEnd(name, false, now);
+    return out;
+}
+
+void MemberTable::onProbeEnd(const std::string &name, bool reached, TimePoint now)
+{
+    if (m_probing.erase(name) == 0)
+        return;
+    if (!reached)
+        suspect(name, now);
+}
+
+void MemberTable::suspect(const std::string &name, TimePoint now)
+{
+    const auto it = m_peers.find(name);
+    if (it == m_peers.end() || it->second.member.state != MemberState::Alive)
+        return;
+    it->second.member.state = MemberState::Suspect;
+    it->second.changedAt = now;
+    it->second.sent = 0;
+}
+
+void MemberTable::expire(TimePoint now)
+{
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        auto &peer = it->second;
+        const auto age = now - peer.changedAt;
+        if (peer.member.state == MemberState::Suspect && age > m_times.suspicion) {
+            peer.member.state = MemberState::Dead;
+            peer.changedAt = now;
+            peer.sent = 0;
+        }
+        const bool gone =
+            peer.member.state == MemberState::Dead || peer.member.state == MemberState::Left;
+        if (gone && age > m_times.forgetting)
+            it = m_peers.erase(it);
+        else
+            ++it;
+    }
+    std::erase_if(m_handovers,
+                  [&](const auto &it) { return now - it.second.second > m_times.handoverMemory; });
+}
+
+int MemberTable::onUpdates(const std::vector<Member> &updates, TimePoint now)
+{
+    int news = 0;
+    for (const auto &update : updates) {
+        if (update.name == m_self.name) {
+            const bool aboutThisProcess = update.incarnation == m_self.incarnation;
+            const bool wrong = update.state != m_self.state && update.supersedes(m_self);
+            if (aboutThisProcess && wrong)
+                m_self.refutation = update.refutation + 1;
+            continue;
+        }
+        noteHandover(update, now);
+        const auto it = m_peers.find(update.name);
+        if (it == m_peers.end()) {
+            // A dead host that is unknown here is no news and would never be forgotten.
+            if (update.state == MemberState::Dead)
+                continue;
+            m_peers[update.name] = {update, now, 0};
+            ++news;
+            continue;
+        }
+        if (!update.supersedes(it->second.member)) {
+            const bool same = !it->second.member.supersedes(update);
+            if (same)
+                it->second.member.load = update.load;
+            continue;
+        }
+        if (it->second.member.state == MemberState::Dead && reachable(update)
+            && update.incarnation == it->second.member.incarnation)
+            ++m_falseDeaths;
+        it->second = {update, now, 0};
+        ++news;
+    }
+    return news;
+}
+
+void MemberTable::noteHandover(const Member &member, TimePoint now)
+{
+    if (member.state == MemberState::Left && !member.successor.empty())
+        m_handovers[{member.name, member.incarnation}] = {member.successor, now};
+}
+
+std::string MemberTable::deciderOf(const std::string &name, std::uint64_t incarnation) const
+{
+    constexpr int longestChain = 16;
+    std::string decider = name;
+    for (int i = 0; i < longestChain; ++i) {
+        const auto it = m_handovers.find({decider, incarnation});
+        if (it != m_handovers.end()) {
+            decider = it->second.first;
+            const auto *next = find(decider);
+            if (next == nullptr)
+                return {};
+            incarnation = next->incarnation;
+            continue;
+        }
+        const auto *member = find(decider);
+        const bool lives = member != nullptr && member->incarnation == incarnation
+            && (reachable(*member) || member == &m_self);
+        return lives ? decider : std::string();
+    }
+    return {};
+}
+
+int MemberTable::spreadLimit() const
+{
+    constexpr int factor = 3;
+    return factor * (1 + static_cast<int>(std::log2(known() + 1)));
+}
+
+std::vector<Member> MemberTable::updates(bool whole)
+{
+    std::vector<Member> out{m_self};
+    std::vector<Peer *> peers;
+    for (auto &it : m_peers) {
+        if (whole || it.second.sent < spreadLimit())
+            peers.push_back(&it.second);
+    }
+    std::sort(peers.begin(), peers.end(),
+              [](const Peer *a, const Peer *b) { return a->sent < b->sent; });
+    for (auto *it : peers) {
+        if (!whole && out.size() >= m_times.updatesPerMessage)
+            break;
+        ++it->sent;
+        out.push_back(it->member);
+    }
+    return out;
+}
+
+void MemberTable::setLeaving()
+{
+    m_self.leaving = true;
+}
+
+void MemberTable::setLeft(std::string successor)
+{
+    m_self.leaving = true;
+    m_self.state = MemberState::Left;
+    m_self.successor = std::move(successor);
+}
+
+void MemberTable::setLoad(std::uint32_t load)
+{
+    m_self.load = load;
+}
+
+const Member *MemberTable::find(const std::string &name) const
+{
+    if (name == m_self.name)
+        return &m_self;
+    const auto it = m_peers.find(name);
+    return it == m_peers.end() ? nullptr : &it->second.member;
+}
+
+std::vector<Member> MemberTable::all() const
+{
+    std::vector<Member> out{m_self};
+    for (const auto &it : m_peers)
+        out.push_back(it.second.member);
+    return out;
+}
+
+std::vector<Member> MemberTable::live() const
+{
+    std::vector<Member> out{m_self};
+    for (const auto &it : m_peers) {
+        if (reachable(it.second.member))
+            out.push_back(it.second.member);
+    }
+    return out;
+}
+
+} // namespace goldcrestline::policy::membership
--- /dev/null
+++ b/packages/policy/routing/server_table.cpp
@@ -0,0 +1,348 @@
+#include "policy/routing/server_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestline::policy::routing {
+
+using core::Duration;
+using core::TimePoint;
+
+namespace {
+
+constexpr double smoothing = 0.2;
+constexpr double limitDecrease = 0.7;
+constexpr double limitIncrease = 0.2;
+constexpr double minimumLimit = 1;
+constexpr int failuresBeforeEjection = 3;
+constexpr Duration lackMemory = std::chrono::milliseconds(1000);
+constexpr Duration reportMemory = std::chrono::seconds(2);
+constexpr double slowStartPenalty = 4;
+
+} // namespace
+
+ServerTable::ServerTable(std::string zone, RoutingLimits limits,
+                         std::function<unsigned(unsigned)> random)
+    : m_zone(std::move(zone)), m_limits(std::move(limits)), m_random(std::move(random))
+{ }
+
+void ServerTable::update(const ServiceRecord &service, TimePoint now)
+{
+    std::map<std::string, Server> servers;
+    m_groups.clear();
+    for (const auto &record : service.servers) {
+        Server server;
+        const auto known = m_servers.find(record.id);
+        if (known != m_servers.end() && known->second.record.startedAt > record.startedAt) {
+            // The list lags behind what this host already learnt.
+            server = known->second;
+        } else if (known != m_servers.end() && known->second.record.startedAt == record.startedAt) {
+            server = known->second;
+            server.record = record;
+        } else {
+            server.record = record;
+            server.limit = std::max(1, m_limits.connectionShare(record));
+            server.firstUsedAt = m_servers.empty() ? TimePoint{} : now;
+            if (known != m_servers.end())
+                server.inFlight = known->second.inFlight;
+        }
+        m_groups[record.group].push_back(record.id);
+        servers.emplace(record.id, std::move(server));
+    }
+    m_servers = std::move(servers);
+}
+
+bool ServerTable::noteLeaving(const LeavingNote &note)
+{
+    const auto it = m_servers.find(note.serverId);
+    if (it == m_servers.end() || it->second.leavingByNote)
+        return false;
+    if (note.startedAt < it->second.record.startedAt)
+        return false;
+    it->second.leavingByNote = true;
+    return true;
+}
+
+std::vector<LeavingNote> ServerTable::leavingNotes() const
+{
+    std::vector<LeavingNote> notes;
+    for (const auto &[id, it] : m_servers) {
+        if (it.leavingByNote || it.record.leaving)
+            notes.push_back({id, it.record.startedAt});
+    }
+    return notes;
+}
+
+int ServerTable::capacity(const Server &server, TimePoint now) const
+{
+    const int share = std::max(1, m_limits.connectionShare(server.record));
+    if (now - server.firstUsedAt < m_limits.slowStart && server.firstUsedAt != TimePoint{})
+        return 1;
+    return std::min(share, static_cast<int>(server.limit));
+}
+
+bool ServerTable::usable(const Server &server, TimePoint now) const
+{
+    if (server.leavingByNote || server.record.leaving)
+        return false;
+    if (now < server.ejectedUntil)
+        return false;
+    return server.inFlight < capacity(server, now);
+}
+
+bool ServerTable::mayHold(const Server &server, core::SnapshotId id, TimePoint now) const
+{
+    if (server.holding.count(id) != 0)
+        return true;
+    const auto it = server.lacking.find(id);
+    return it == server.lacking.end() || now - it->second > lackMemory;
+}
+
+double ServerTable::score(const Server &server, TimePoint now) const
+{
+    double latency = server.latencyMs;
+    const double fallback =
+        m_limits.unknownLatencyMs + (server.record.zone == m_zone ? 0 : m_limits.crossZoneMs);
+    if (server.sampledAt == TimePoint{}) {
+        latency = fallback;
+    } else {
+        // An old sample loses weight, so that a recovered server is tried again.
+        const double age = core::toMillis(now - server.sampledAt);
+        const double keep = std::exp2(-age / core::toMillis(m_limits.sampleHalfLife));
+        latency = latency * keep + fallback * (1 - keep);
+    }
+    double busy = server.inFlight + 1;
+    if (server.reportedAt != TimePoint{} && now - server.reportedAt < reportMemory)
+        busy += server.reportedLoad * (1 - (now - server.reportedAt) / (1.0 * reportMemory));
+    double factor = 1;
+    if (server.firstUsedAt != TimePoint{} && now - server.firstUsedAt < m_limits.slowStart)
+        factor *= slowStartPenalty;
+    if (shedLately(server, now))
+        factor *= 2;
+    return latency * busy * factor * (1 + server.failuresInRow);
+}
+
+std::optional<std::string> ServerTable::pick(int group, const std::set<std::string> &exclude,
+                                             std::optional<core::SnapshotId> snapshot,
+                                             TimePoint now) const
+{
+    const auto members = m_groups.find(group);
+    if (members == m_groups.end())
+        return std::nullopt;
+    std::vector<const Server *> candidates;
+    for (const auto &id : members->second) {
+        const auto &server = m_servers.at(id);
+        if (exclude.count(id) != 0 || !usable(server, now))
+            continue;
+        if (snapshot && !mayHold(server, *snapshot, now))
+            continue;
+        candidates.push_back(&server);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    // First choice: a server of the own zone if there is one, else any.
+    const auto own = std::find_if(candidates.begin(), candidates.end(),
+                                  [&](const Server *it) { return it->record.zone == m_zone; });
+    std::size_t first = own != candidates.end() && candidates.size() <= 3
+        ? static_cast<std::size_t>(own - candidates.begin())
+        : m_random(static_cast<unsigned>(candidates.size()));
+    if (candidates.size() == 1)
+        return candidates[first]->record.id;
+    std::size_t second = m_random(static_cast<unsigned>(candidates.size() - 1));
+    if (second >= first)
+        ++second;
+    if (score(*candidates[second], now) < score(*candidates[first], now))
+        first = second;
+    return candidates[first]->record.id;
+}
+
+void ServerTable::sent(const std::string &id)
+{
+    auto &server = m_servers.at(id);
+    ++server.inFlight;
+}
+
+void ServerTable::sample(Server &server, double latencyMs, TimePoint now)
+{
+    if (server.sampledAt == TimePoint{})
+        server.latencyMs = latencyMs;
+    else
+        server.latencyMs += smoothing * (latencyMs - server.latencyMs);
+    server.sampledAt = now;
+}
+
+void ServerTable::ended(const std::string &id, AttemptEnd end, TimePoint sentAt, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    auto &server = it->second;
+    server.inFlight = std::max(0, server.inFlight - 1);
+    const double tookMs = core::toMillis(now - sentAt);
+    switch (end) {
+    case AttemptEnd::Answered:
+        sample(server, tookMs, now);
+        server.answeredAt = now;
+        server.failuresInRow = 0;
+        server.limit = std::min<double>(server.limit + limitIncrease,
+                                        std::max(1, m_limits.connectionShare(server.record)));
+        return;
+    case AttemptEnd::Shed:
+        if (now - server.shedAt > m_limits.shedMemory / 5)
+            server.limit = std::max(minimumLimit, server.limit * limitDecrease);
+        server.shedAt = now;
+        return;
+    case AttemptEnd::Draining:
+        noteLeaving({id, server.record.startedAt});
+        return;
+    case AttemptEnd::NotReached:
+    case AttemptEnd::Broken:
+        if (++server.failuresInRow >= failuresBeforeEjection)
+            server.ejectedUntil = now + m_limits.ejection * std::min(8, server.failuresInRow - 2);
+        return;
+    case AttemptEnd::Cancelled:
+        // The attempt lost a race, so the server took at least this long.
+        if (tookMs > server.latencyMs)
+            sample(server, tookMs, now);
+        return;
+    case AttemptEnd::Silent:
+        // Blame the connection alone when the server answered on another one meanwhile.
+        if (server.answeredAt < sentAt) {
+            sample(server, tookMs, now);
+            ++server.failuresInRow;
+        }
+        return;
+    }
+}
+
+void ServerTable::reported(const std::string &id, int load, int slots, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    it->second.reportedLoad = static_cast<double>(load) / std::max(1, slots);
+    it->second.reportedAt = now;
+}
+
+void ServerTable::lacks(const std::string &id, core::SnapshotId snapshot, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    it->second.holding.erase(snapshot);
+    it->second.lacking[snapshot] = now;
+}
+
+void ServerTable::holds(const std::string &id, core::SnapshotId snapshot)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    it->second.lacking.erase(snapshot);
+    it->second.holding.insert(snapshot);
+    constexpr std::size_t keptSnapshots = 4;
+    while (it->second.holding.size() > keptSnapshots)
+        it->second.holding.erase(it->second.holding.begin());
+}
+
+bool ServerTable::available(const Snapshot &snapshot, TimePoint now) const
+{
+    for (const auto &group : snapshot.documentsByGroup) {
+        const auto members = m_groups.find(group.first);
+        if (members == m_groups.end())
+            return false;
+        const bool any =
+            std::any_of(members->second.begin(), members->second.end(), [&](const auto &id) {
+                const auto &server = m_servers.at(id);
+                return !server.leavingByNote && !server.record.leaving
+                    && mayHold(server, snapshot.id, now);
+            });
+        if (!any)
+            return false;
+    }
+    return true;
+}
+
+bool ServerTable::heldByAllGroups(const Snapshot &snapshot) const
+{
+    for (const auto &group : snapshot.documentsByGroup) {
+        const auto members = m_groups.find(group.first);
+        if (members == m_groups.end())
+            return false;
+        std::size_t live = 0;
+        std::size_t holders = 0;
+        for (const auto &id : members->second) {
+            const auto &server = m_servers.at(id);
+            if (server.leavingByNote || server.record.leaving)
+                continue;
+            ++live;
+            holders += server.holding.count(snapshot.id);
+        }
+        if (holders == 0 || 2 * holders < live)
+            return false;
+    }
+    return true;
+}
+
+const Snapshot *ServerTable::newestUsable(const std::vector<Snapshot> &snapshots,
+                                          std::optional<core::SnapshotId> below,
+                                          TimePoint now) const
+{
+    const Snapshot *fallback = nullptr;
+    for (auto it = snapshots.rbegin(); it != snapshots.rend(); ++it) {
+        if (below && it->id >= *below)
+            continue;
+        if (heldByAllGroups(*it))
+            return &*it;
+        if (fallback == nullptr && available(*it, now))
+            fallback = &*it;
+    }
+    return fallback;
+}
+
+bool ServerTable::shedLately(const Server &server, TimePoint now) const
+{
+    return server.shedAt != TimePoint{} && now - server.shedAt < m_limits.shedMemory;
+}
+
+bool ServerTable::groupSheds(int group, TimePoint now) const
+{
+    const auto members = m_groups.find(group);
+    if (members == m_groups.end())
+        return false;
+    return std::any_of(members->second.begin(), members->second.end(),
+                       [&](const auto &id) { return shedLately(m_servers.at(id), now); });
+}
+
+bool ServerTable::allShed(int group, TimePoint now) const
+{
+    const auto members = m_groups.find(group);
+    if (members == m_groups.end())
+        return false;
+    return std::all_of(members->second.begin(), members->second.end(), [&](const auto &id) {
+        const auto &server = m_servers.at(id);
+        return server.leavingByNote || server.record.leaving || shedLately(server, now);
+    });
+}
+
+const ServerRecord *ServerTable::record(const std::string &id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second.record;
+}
+
+std::vector<std::string> ServerTable::ids() const
+{
+    std::vector<std::string> ids;
+    for (const auto &it : m_servers)
+        ids.push_back(it.first);
+    return ids;
+}
+
+int ServerTable::inFlight(const std::string &id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? 0 : it->second.inFlight;
+}
+
+} // namespace goldcrestline::policy::routing
--- /dev/null
+++ b/tests/demo/demo.cpp
@@ -0,0 +1,91 @@
+#include "cluster.h"
+
+#include <csignal>
+#include <iostream>
+
+// Shows the whole path: queries, a claim, a change of the lists, and a graceful stop.
+namespace {
+
+using namespace harness;
+
+int failures = 0;
+
+void expect(bool well, const std::string &what)
+{
+    std::cout << (well ? "ok    " : "WRONG ") << what << '\n';
+    failures += well ? 0 : 1;
+}
+
+std::string cli()
+{
+    return programPath("packages/cli/goldcrestline");
+}
+
+void showQueries(Cluster &cluster)
+{
+    constexpr int queries = 5;
+    for (int i = 0; i < queries; ++i) {
+        const auto &host = cluster.host(static_cast<std::size_t>(i) % cluster.size());
+        const auto result = runCommand({cli(), "query", "doorstep-search", "--host", host.callers,
+                                        "--customer", "app", "--body", R"({"serial":"LS-20417"})"});
+        std::cout << result.output;
+        expect(result.exitCode == 0 && result.output.find("10000 of 10000") != std::string::npos,
+               "query at " + host.name + " covers every document");
+    }
+}
+
+void showClaim(Cluster &cluster)
+{
+    const auto key = cluster.key(0);
+    for (const std::size_t n : {1, 2}) {
+        const auto result =
+            runCommand({cli(), "request", "claims-desk", "--host", cluster.host(n).callers,
+                        "--customer", "app", "--key", key, "--body", R"({"claim":"W-118"})"});
+        std::cout << result.output;
+        expect(result.exitCode == 0, "claim through " + cluster.host(n).name);
+    }
+    expect(cluster.executions("claims-desk")[key] == 1, "the claim ran once for both requests");
+}
+
+void showChange(Cluster &cluster)
+{
+    auto lists = json::parse(smallLists());
+    lists["customers"]["partner"] = {{"plan", "doorstep"}};
+    const auto before = cluster.query(0, "doorstep-search", "{}", 1000, "partner");
+    expect(before.status == 403, "an unknown customer is refused");
+    const auto result =
+        cluster.applyLists(lists.dump(), {"--base", "1", "--host", cluster.host(0).control});
+    std::cout << result.output;
+    expect(result.exitCode == 0, "the change is in force everywhere");
+    for (std::size_t n = 0; n < cluster.size(); ++n) {
+        const auto after = cluster.query(n, "doorstep-search", "{}", 1000, "partner");
+        expect(after.status == 200, "the new customer is served by " + cluster.host(n).name);
+    }
+}
+
+void showStop(Cluster &cluster)
+{
+    for (std::size_t n = 0; n < cluster.size(); ++n)
+        cluster.host(n).process->signal(SIGTERM);
+    for (std::size_t n = 0; n < cluster.size(); ++n)
+        expect(cluster.host(n).process->wait() == 0, cluster.host(n).name + " stopped gracefully");
+}
+
+} // namespace
+
+int main()
+{
+    try {
+        Cluster cluster({});
+        std::cout << runCommand({cli(), "status", "--host", cluster.host(0).control}).output;
+        showQueries(cluster);
+        showClaim(cluster);
+        showChange(cluster);
+        showStop(cluster);
+    } catch (const std::exception &e) {
+        std::cerr << "demo: " << e.what() << '\n';
+        return 1;
+    }
+    std::cout << (failures == 0 ? "all well\n" : "something was wrong\n");
+    return failures == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/harness/process.cpp
@@ -0,0 +1,219 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+extern char **environ;
+
+namespace harness {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollStep{5};
+
+struct Scratch
+{
+    std::string root;
+    int last = 0;
+    Scratch()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "goldcrestline-XXXXXX");
+        root = mkdtemp(pattern.data());
+    }
+    ~Scratch()
+    {
+        std::error_code ec;
+        std::filesystem::remove_all(root, ec);
+    }
+};
+
+Scratch &scratch()
+{
+    static Scratch it;
+    return it;
+}
+
+} // namespace
+
+Process::Process(const std::vector<std::string> &arguments)
+{
+    m_outputPath = scratchFolder() + "/output";
+    std::vector<char *> argv;
+    for (const auto &it : arguments)
+        argv.push_back(const_cast<char *>(it.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, m_outputPath.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    const int failed = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0)
+        throw std::runtime_error("cannot start " + arguments[0]);
+}
+
+Process::~Process()
+{
+    if (m_pid <= 0)
+        return;
+    kill(m_pid, SIGCONT);
+    kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+}
+
+Process::Process(Process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1)), m_exitCode(other.m_exitCode),
+      m_outputPath(std::move(other.m_outputPath))
+{ }
+
+Process &Process::operator=(Process &&other) noexcept
+{
+    std::swap(m_pid, other.m_pid);
+    std::swap(m_exitCode, other.m_exitCode);
+    std::swap(m_outputPath, other.m_outputPath);
+    return *this;
+}
+
+std::string Process::output() const
+{
+    std::ifstream file(m_outputPath);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string Process::waitForLine(const std::string &prefix) const
+{
+    const auto giveUpAt = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (std::chrono::steady_clock::now() < giveUpAt) {
+        std::ifstream file(m_outputPath);
+        std::string line;
+        while (std::getline(file, line)) {
+            const auto at = line.find(prefix);
+            if (at != std::string::npos && !file.eof())
+                return line.substr(at + prefix.size());
+        }
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG | WNOWAIT) == m_pid)
+            break;
+        std::this_thread::sleep_for(pollStep);
+    }
+    throw std::runtime_error("no line '" + prefix + "' in: " + output());
+}
+
+void Process::signal(int number) const
+{
+    if (m_pid > 0)
+        kill(m_pid, number);
+}
+
+bool Process::running()
+{
+    if (m_pid <= 0)
+        return false;
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return true;
+    m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    m_pid = -1;
+    return false;
+}
+
+int Process::wait(double seconds)
+{
+    const auto giveUpAt = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    while (running()) {
+        if (std::chrono::steady_clock::now() > giveUpAt)
+            throw std::runtime_error("process did not end: " + output());
+        std::this_thread::sleep_for(pollStep);
+    }
+    return m_exitCode;
+}
+
+double Process::processorSeconds() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    std::stringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::size_t Process::memoryBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+CommandResult runCommand(const std::vector<std::string> &arguments, double seconds)
+{
+    Process process(arguments);
+    CommandResult result;
+    result.exitCode = process.wait(seconds);
+    result.output = process.output();
+    return result;
+}
+
+std::string programPath(const std::string &name)
+{
+    return std::string(GOLDCRESTLINE_BUILD_FOLDER) + "/" + name;
+}
+
+std::string scratchFolder()
+{
+    const auto path = scratch().root + "/" + std::to_string(++scratch().last);
+    std::filesystem::create_directory(path);
+    return path;
+}
+
+std::vector<int> freePorts(std::size_t n)
+{
+    std::vector<int> sockets;
+    std::vector<int> ports;
+    for (std::size_t i = 0; i < n; ++i) {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        if (bind(fd, reinterpret_cast<sockaddr *>(&address), size) != 0)
+            throw std::runtime_error("cannot bind a port");
+        getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+        ports.push_back(ntohs(address.sin_port));
+        sockets.push_back(fd);
+    }
+    for (const int fd : sockets)
+        close(fd);
+    return ports;
+}
+
+void writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream(path) << text;
+}
+
+} // namespace harness
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,46 @@
+#include "platform_standin.h"
+#include "server_farm.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+// Runs the stand-ins: "standins --platform" or "standins --servers SPEC --store ADDRESS". Prints
+// "ready PORT" when it listens; ends on SIGTERM.
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("standins", "Stand-ins of the platform and of backend servers.");
+    options.add_options()("platform", "run the platform")(
+        "servers", "run the servers of this JSON file", cxxopts::value<std::string>())(
+        "store", "address of the platform",
+        cxxopts::value<std::string>())("port", "port of the platform or of the switches",
+                                       cxxopts::value<unsigned short>()->default_value("0"));
+    try {
+        const auto arguments = options.parse(argc, argv);
+        const auto port = arguments["port"].as<unsigned short>();
+        standins::asio::io_context io(1);
+        standins::asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&io](auto, auto) { io.stop(); });
+        std::unique_ptr<standins::PlatformStandin> platform;
+        std::unique_ptr<standins::ServerFarm> farm;
+        if (arguments.count("platform") != 0) {
+            platform = std::make_unique<standins::PlatformStandin>(io, port);
+            std::cout << "ready " << platform->port() << std::endl;
+        } else {
+            std::ifstream file(arguments["servers"].as<std::string>());
+            std::stringstream spec;
+            spec << file.rdbuf();
+            farm = std::make_unique<standins::ServerFarm>(
+                io, spec.str(), arguments["store"].as<std::string>(), port);
+            farm->publish();
+            std::cout << "ready " << farm->adminPort() << std::endl;
+        }
+        io.run();
+    } catch (const std::exception &e) {
+        std::cerr << "standins: " << e.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
