Measure load and mend shedding, overload and the ledger's clock; report burn

Servers shed at random arrivals; the group was then given up because all its servers counted as shedding for 500 ms, or because the retry budget of 10% was used up. Ruled out: the deadline (p99 66 ms), admission (11 refusals of 2,700).

Change: a server that shed is left alone for 20 ms; a group that met a shed waits and is tried again from a budget of its own, as nothing ran; a query counts as strained when its answer is thin or took over 0.6 of its time, not when it met a shed.

Found by a property test: a ledger whose wall clock goes back runs a forgotten key again. A ledger's time never goes back now and goes along to the successor, for which a test with a slow successor was added.

Servers that answered lately are no longer polled.

--- a/packages/adapters/control/control_server.cpp
+++ b/packages/adapters/control/control_server.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int threads = 1;
-constexpr std::size_t requestBytes = 64 * 1024;
+constexpr std::size_t requestBytes = 64U << 10;
 
 ports::HttpRequest readRequest(const Http::Request &from)
 {
@@ -34,9 +34,10 @@
     {
         const auto response = m_answer(readRequest(request));
         const auto type = response.headers.find("content-type");
-        if (type != response.headers.end())
+        if (type != response.headers.end()) {
             writer.headers().add<Http::Header::ContentType>(
                 Http::Mime::MediaType::fromString(type->second));
+        }
         writer.send(static_cast<Http::Code>(response.status), response.body);
     }
 
--- a/packages/adapters/curl/http_server_channel.cpp
+++ b/packages/adapters/curl/http_server_channel.cpp
@@ -195,10 +195,11 @@
     auto &server = m_servers[call.serverId];
     const auto share =
         static_cast<std::size_t>(std::max(1, m_limits.connectionShare(call.serverId)));
-    if (static_cast<std::size_t>(server.open) < share)
+    if (static_cast<std::size_t>(server.open) < share) {
         sendCancel(call.serverId, call.address, call.queryId);
-    else if (server.waitingCancels.size() < share)
+    } else if (server.waitingCancels.size() < share) {
         server.waitingCancels.push_back(call.queryId);
+    }
 }
 
 void HttpServerChannel::sendCancel(const std::string &serverId, const std::string &address,
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -58,5 +58,5 @@
   # Lends tokens of a plan's limit.
   borrow @4 (plan :Text, wanted :Int32) -> (tokens :Int32);
   # Hands over a sealed ledger.
-  adopt @5 (host :Text, incarnation :UInt64, secret :Text, entries :List(LedgerEntry)) -> (adopted :Bool);
+  adopt @5 (host :Text, incarnation :UInt64, secret :Text, entries :List(LedgerEntry), latest :Int64) -> (adopted :Bool);
 }
--- a/packages/adapters/peers/peer_thread.cpp
+++ b/packages/adapters/peers/peer_thread.cpp
@@ -149,7 +149,8 @@
             ports::AdoptRequest request{asString(params.getHost()),
                                         params.getIncarnation(),
                                         asString(params.getSecret()),
-                                        {}};
+                                        {},
+                                        params.getLatest()};
             for (const auto it : params.getEntries())
                 request.entries.push_back(readEntry(it));
             return m_loop.ask(std::move(request)).then([context](ports::PeerAnswer answer) mutable {
@@ -291,6 +292,7 @@
         request.setHost(it.host);
         request.setIncarnation(it.incarnation);
         request.setSecret(it.secret);
+        request.setLatest(it.latest);
         auto entries = request.initEntries(static_cast<unsigned>(it.entries.size()));
         for (unsigned i = 0; i < entries.size(); ++i)
             writeEntry(it.entries[i], entries[i]);
--- a/packages/adapters/settings/settings.cpp
+++ b/packages/adapters/settings/settings.cpp
@@ -151,9 +151,10 @@
         for (const auto *it : section.children()) {
             if (it->type() == NodeType::Text && !it->given) {
                 const auto &node = static_cast<const TextNode &>(*it);
-                if (node.presence == Presence::Required)
+                if (node.presence == Presence::Required) {
                     return at(table, ResultCode::SettingsMissing, path + it->key(),
                               describe(node.form));
+                }
             }
             if (it->type() == NodeType::Section && !it->given) {
                 if (auto error = checkRequired(static_cast<const Section &>(*it), table,
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -70,7 +70,8 @@
         NumberNode hedgeQuantile{this, "hedge_quantile", 0.95, 0.5, 0.999};
         IntegerNode joinIdentical{this, "join_identical", 0, 0, 1};
         IntegerNode cancelGraceMs{this, "cancel_grace_ms", 250, 10, 60000};
-        IntegerNode pollMs{this, "poll_ms", 1000, 100, 60000};
+        // Servers that answered a query within this time are not polled.
+        IntegerNode pollMs{this, "poll_ms", 3000, 100, 60000};
         IntegerNode idleConnectionMs{this, "idle_connection_ms", 20000, 100, 600000};
     } queries{this, "queries"};
 
--- a/packages/cli/caller_commands.cpp
+++ b/packages/cli/caller_commands.cpp
@@ -99,10 +99,11 @@
         std::cerr << core::Error{core::ResultCode::OutcomeUnknown, "no answer came"}.text() << '\n';
         return ExitUnknown;
     }
-    if (parsed.count("json") != 0)
+    if (parsed.count("json") != 0) {
         std::cout << result.body << '\n';
-    else
+    } else {
         printAnswer(answer, tookMs);
+    }
     return exitCodeOf(answer);
 }
 
@@ -121,11 +122,12 @@
         return result.status == 200 ? ExitDone : ExitRefused;
     }
     for (const auto &it : answer.at(list)) {
-        if (it.is_string())
+        if (it.is_string()) {
             std::cout << it.get<std::string>() << '\n';
-        else
+        } else {
             std::cout << it.value("callers", "") << "  zone " << it.value("zone", "") << "  host "
                       << it.value("host", "") << '\n';
+        }
     }
     if (answer.contains("keep_ms"))
         std::cout << "keep for " << answer.at("keep_ms") << " ms\n";
--- a/packages/core/snapshot_id.h
+++ b/packages/core/snapshot_id.h
@@ -12,7 +12,7 @@
     std::uint64_t indexVersion = 0;
     std::uint32_t shardMap = 0;
 
-    auto operator<=>(const SnapshotId &) const = default;
+    auto operator<=>(const SnapshotId &) const = default; // NOLINT(modernize-use-nullptr)
 
     // Returns "version.map". Thread-safe.
     std::string text() const
--- a/packages/daemon/control/routes.cpp
+++ b/packages/daemon/control/routes.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <sstream>
 
 namespace goldcrestline::daemon::control {
 
@@ -82,6 +83,8 @@
         return health();
     if (request.method == "GET" && path == "/v1/status")
         return status();
+    if (request.method == "GET" && path == "/v1/metrics")
+        return metrics();
     return engine::answerFor(core::ResultCode::UnknownPath, request.method + " " + path);
 }
 
@@ -108,9 +111,10 @@
 ports::HttpResponse Routes::keysFor(const std::string &query) const
 {
     const auto customer = parameter(query, "customer");
-    if (customer.empty())
+    if (customer.empty()) {
         return engine::answerFor(core::ResultCode::MissingCustomer,
                                  "parameter customer is missing");
+    }
     const auto board = m_board.read();
     if (board->leaving)
         return engine::answerFor(core::ResultCode::HostStopping, "");
@@ -152,10 +156,41 @@
               {"running", board->running},
               {"keys", board->keys},
               {"members", json::array()},
-              {"services", json::parse(board->servicesJson)}};
+              {"services", json::parse(board->servicesJson)},
+              {"levels", json::parse(board->levelsJson)}};
     for (const auto &it : board->members)
         body["members"].push_back(memberJson(it));
     return jsonResponse(body);
 }
 
+ports::HttpResponse Routes::metrics() const
+{
+    const auto board = m_board.read();
+    std::stringstream text;
+    const auto gauge = [&](const char *name, double value) {
+        text << "goldcrestline_" << name << ' ' << value << '\n';
+    };
+    gauge("serving", board->serving ? 1 : 0);
+    gauge("leaving", board->leaving ? 1 : 0);
+    gauge("lists_revision", static_cast<double>(board->listsRevision));
+    gauge("fleet_revision", static_cast<double>(board->fleetRevision));
+    gauge("platform_calls_total", static_cast<double>(board->platformCalls));
+    gauge("peer_calls_total", static_cast<double>(board->peerCalls));
+    gauge("silent_connections_total", static_cast<double>(board->silentConnections));
+    gauge("running", static_cast<double>(board->running));
+    gauge("keys", static_cast<double>(board->keys));
+    const auto services = json::parse(board->servicesJson);
+    for (const auto &service : services.items()) {
+        for (const auto &it : service.value().items()) {
+            if (it.value().is_number())
+                text << "goldcrestline_service_" << it.key() << "{service=\"" << service.key()
+                     << "\"} " << it.value().dump() << '\n';
+        }
+    }
+    ports::HttpResponse response;
+    response.headers["content-type"] = "text/plain";
+    response.body = text.str();
+    return response;
+}
+
 } // namespace goldcrestline::daemon::control
--- a/packages/daemon/control/routes.h
+++ b/packages/daemon/control/routes.h
@@ -25,6 +25,7 @@
     ports::HttpResponse keysFor(const std::string &query) const;
     ports::HttpResponse health() const;
     ports::HttpResponse status() const;
+    ports::HttpResponse metrics() const;
 
     const engine::StatusBoard &m_board;
     std::shared_ptr<const policy::once::KeyIssuer> m_keys;
--- a/packages/daemon/engine/document_sync.cpp
+++ b/packages/daemon/engine/document_sync.cpp
@@ -124,10 +124,11 @@
 
 void DocumentSync::take(DocumentKind kind, const std::string &text, TimePoint now)
 {
-    if (kind == DocumentKind::Lists)
+    if (kind == DocumentKind::Lists) {
         takeLists(text);
-    else
+    } else {
         takeFleet(text, now);
+    }
 }
 
 void DocumentSync::takeLists(const std::string &text)
--- a/packages/daemon/engine/engine.cpp
+++ b/packages/daemon/engine/engine.cpp
@@ -141,7 +141,7 @@
             m_documents.tick(at);
         });
         repeat(now, settings.queries.pollMs.millis(),
-               [this](TimePoint) { m_queries.pollServers(); });
+               [this](TimePoint at) { m_queries.pollServers(at); });
         repeat(now, statusPeriod, [this](TimePoint at) { publish(at); });
         repeat(now, expiryPeriod, [this](TimePoint) { m_requests.expire(core::wallNow()); });
         repeat(now, silenceCheck, [this](TimePoint at) { m_channel.tick(at); });
@@ -192,6 +192,7 @@
         status.keys = m_requests.keys();
         status.members = m_host.members.all();
         status.servicesJson = servicesJson(m_queries);
+        status.levelsJson = levelsJson(m_queries, now);
         status.keepFor = m_host.settings->callers.keepMs.millis();
         m_board.publish(std::move(status));
     }
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -38,12 +38,13 @@
 void PeerService::apply(const std::vector<policy::membership::Action> &actions, TimePoint now)
 {
     for (const auto &action : actions) {
-        if (const auto *probe = std::get_if<policy::membership::Probe>(&action))
+        if (const auto *probe = std::get_if<policy::membership::Probe>(&action)) {
             exchange(probe->name, probe->address, false, now);
-        else if (const auto *contact = std::get_if<policy::membership::Contact>(&action))
+        } else if (const auto *contact = std::get_if<policy::membership::Contact>(&action)) {
             exchange("", contact->address, true, now);
-        else
+        } else {
             probeIndirectly(std::get<policy::membership::IndirectProbe>(action));
+        }
     }
 }
 
--- a/packages/daemon/engine/plan_limits.cpp
+++ b/packages/daemon/engine/plan_limits.cpp
@@ -73,10 +73,11 @@
                      const auto *answer = std::get_if<ports::BorrowAnswer>(&result.answer);
                      const bool lent = result.end == ports::PeerEnd::Answered && answer != nullptr
                          && answer->tokens != ports::cannotLend;
-                     if (lent)
+                     if (lent) {
                          state.borrower.onLoan(answer->tokens, wanted, answeredAt);
-                     else
+                     } else {
                          state.borrower.onLenderSilent();
+                     }
                      release(plan, state, answeredAt);
                  });
 }
@@ -87,10 +88,11 @@
     for (auto &decision : held) {
         const auto hosts = m_host.members.live().size();
         const auto admission = state.borrower.retry(state.ratePerSecond, hosts, now);
-        if (admission == Admission::AskLender)
+        if (admission == Admission::AskLender) {
             state.held.push_back(std::move(decision));
-        else
+        } else {
             decision(admission == Admission::Admitted, now);
+        }
     }
     if (!state.held.empty())
         askLender(plan, state, now);
--- a/packages/daemon/engine/query_service.cpp
+++ b/packages/daemon/engine/query_service.cpp
@@ -16,6 +16,8 @@
 
 // Part of the deadline that is kept for putting the answer together and sending it.
 constexpr core::Duration answerMargin = std::chrono::milliseconds(3);
+// Part of the time allowed from which a complete answer counts as a sign of overload.
+constexpr double strainShare = 0.6;
 constexpr core::Millis noSnapshotRetryAfter{500};
 
 Failure failureOf(const ports::ServerResult &result)
@@ -97,6 +99,7 @@
     }
     if (!service->limiter.admit(admitted.allowance.priority)) {
         ++service->counters.refused;
+        countLevel(admitted.plan, name, admitted.allowance, true, false, now);
         return waiter.respond(
             answerFor(ResultCode::Overloaded, name, service->limiter.retryAfter(now)));
     }
@@ -104,6 +107,8 @@
     query->id = id;
     query->service = service;
     query->joinKey = joinKey;
+    query->plan = admitted.plan;
+    query->allowance = admitted.allowance;
     query->queryId = waiter.queryId;
     query->body = std::make_shared<const std::string>(std::move(call.request.body));
     query->startedAt = now;
@@ -120,6 +125,7 @@
     for (std::size_t i = 0; i < snapshot->documentsByGroup.size(); ++i) {
         service->hedgeBudget.earn();
         service->retryBudget.earn();
+        service->shedBudget.earn();
     }
     apply(running, running.fanout->start(now), now);
 }
@@ -214,8 +220,6 @@
         return;
     auto &query = *it->second;
     query.calls.erase(send.attempt);
-    if (result.end == AttemptEnd::Shed)
-        query.strained = true;
     if (answered) {
         policy::fanout::Reply reply{result.queryId, result.group, result.snapshot, result.documents,
                                     std::move(result.body)};
@@ -229,6 +233,8 @@
 void QueryService::finish(Running &query, const policy::fanout::Answer &answer, TimePoint now)
 {
     count(*query.service, query, answer, now);
+    const auto allowed = query.deadline - query.startedAt;
+    query.strained = answer.code != ResultCode::Ok || now - query.startedAt > strainShare * allowed;
     for (auto &it : query.waiters)
         it.respond(answerFor(it.queryId, answer));
 }
@@ -237,18 +243,33 @@
                          const policy::fanout::Answer &answer, TimePoint now)
 {
     auto &counters = service.counters;
+    countLevel(query.plan, service.name(), query.allowance, now > query.deadline + answerMargin,
+               answer.code != ResultCode::Ok, now);
     ++counters.queries;
-    if (answer.code == ResultCode::Ok)
+    if (answer.code == ResultCode::Ok) {
         ++counters.full;
-    else
+    } else {
         ++counters.partial;
-    if (now <= query.deadline + answerMargin)
+    }
+    if (now <= query.deadline + answerMargin) {
         ++counters.inTime;
-    else
+    } else {
         ++counters.late;
-    if (answer.allDocuments > 0)
+    }
+    if (answer.allDocuments > 0) {
         counters.coverageSum += static_cast<double>(answer.answeredDocuments)
             / static_cast<double>(answer.allDocuments);
+    }
+}
+
+void QueryService::countLevel(const std::string &plan, const std::string &service,
+                              const policy::config::Allowance &allowance, bool late, bool thin,
+                              TimePoint now)
+{
+    auto &level = m_levels[{plan, service}];
+    level.targetInTime = allowance.targetInTime;
+    level.targetCoverage = allowance.targetCoverage;
+    level.window.add(late, thin, now);
 }
 
 void QueryService::schedule(Running &query)
@@ -291,10 +312,13 @@
     m_running.erase(it);
 }
 
-void QueryService::pollServers()
+void QueryService::pollServers(TimePoint now)
 {
+    const auto period = m_host.settings->queries.pollMs.millis();
     for (auto &[name, service] : m_services) {
         for (const auto &id : service->servers.ids()) {
+            if (service->servers.answeredWithin(id, period, now))
+                continue;
             const auto *record = service->servers.record(id);
             m_channel.poll(id, record->address,
                            [this, name = name, id](const ports::ServerResult &result) {
--- a/packages/daemon/engine/query_service.h
+++ b/packages/daemon/engine/query_service.h
@@ -2,6 +2,7 @@
 
 #include "daemon/engine/admission_gate.h"
 #include "daemon/engine/service_state.h"
+#include "policy/burn/burn_window.h"
 #include "ports/http_message.h"
 #include "ports/server_channel.h"
 
@@ -28,8 +29,9 @@
     // Takes a new list of servers.
     void onFleet(core::TimePoint now);
 
-    // Asks all servers for their load and snapshots; call every poll interval.
-    void pollServers();
+    // Asks servers that were not heard of lately for their load and snapshots; call every poll
+    // interval.
+    void pollServers(core::TimePoint now);
 
     // Takes word of a leaving server from a peer.
     void noteLeaving(const policy::routing::LeavingNote &note);
@@ -44,6 +46,18 @@
         return m_services;
     }
 
+    // A plan's use of a service and what became of its answers.
+    struct Level
+    {
+        double targetInTime = 0;
+        double targetCoverage = 0;
+        policy::burn::BurnWindow window;
+    };
+    using LevelKey = std::pair<std::string, std::string>;
+
+    // Returns the levels by plan and service.
+    const std::map<LevelKey, Level> &levels() const { return m_levels; }
+
     // Returns the number of queries under way.
     std::size_t running() const { return m_running.size(); }
 
@@ -60,6 +74,8 @@
         std::uint64_t id = 0;
         ServiceState *service = nullptr;
         std::string joinKey;
+        std::string plan;
+        policy::config::Allowance allowance;
         std::vector<Waiter> waiters;
         std::shared_ptr<const std::string> body;
         std::string queryId;
@@ -83,6 +99,9 @@
     void finish(Running &query, const policy::fanout::Answer &answer, core::TimePoint now);
     void count(ServiceState &service, const Running &query, const policy::fanout::Answer &answer,
                core::TimePoint now);
+    void countLevel(const std::string &plan, const std::string &service,
+                    const policy::config::Allowance &allowance, bool late, bool thin,
+                    core::TimePoint now);
     void schedule(Running &query);
     void remove(std::uint64_t id);
 
@@ -93,6 +112,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<Running>> m_running;
     std::unordered_map<std::uint64_t, std::uint64_t> m_queryOfCall;
     std::unordered_map<std::string, std::uint64_t> m_joinable;
+    std::map<LevelKey, Level> m_levels;
     std::uint64_t m_lastQuery = 0;
 };
 
--- a/packages/daemon/engine/reports.cpp
+++ b/packages/daemon/engine/reports.cpp
@@ -6,6 +6,15 @@
 
 using nlohmann::json;
 
+namespace {
+
+constexpr core::Duration shortWindow = std::chrono::minutes(5);
+constexpr core::Duration longWindow = std::chrono::hours(1);
+// Buckets of ten seconds that the plots show.
+constexpr std::size_t seriesBuckets = 30;
+
+} // namespace
+
 std::string servicesJson(const QueryService &queries)
 {
     json out = json::object();
@@ -33,4 +42,25 @@
     return out.dump();
 }
 
+std::string levelsJson(const QueryService &queries, core::TimePoint now)
+{
+    const auto countsJson = [](const policy::burn::Counts &it) {
+        return json{{"total", it.total}, {"late", it.late}, {"thin", it.thin}};
+    };
+    json out = json::array();
+    for (const auto &[key, level] : queries.levels()) {
+        json series = json::array();
+        for (const auto &it : level.window.series(seriesBuckets, now))
+            series.push_back(countsJson(it));
+        out.push_back({{"plan", key.first},
+                       {"service", key.second},
+                       {"target_in_time", level.targetInTime},
+                       {"target_coverage", level.targetCoverage},
+                       {"short", countsJson(level.window.sum(shortWindow, now))},
+                       {"long", countsJson(level.window.sum(longWindow, now))},
+                       {"series", series}});
+    }
+    return out.dump();
+}
+
 } // namespace goldcrestline::daemon::engine
--- a/packages/daemon/engine/reports.h
+++ b/packages/daemon/engine/reports.h
@@ -10,4 +10,7 @@
 // Returns all services' counters and servers as a JSON object.
 std::string servicesJson(const QueryService &queries);
 
+// Returns each plan's use of each service over a short and a long window as a JSON array.
+std::string levelsJson(const QueryService &queries, core::TimePoint now);
+
 } // namespace goldcrestline::daemon::engine
--- a/packages/daemon/engine/request_service.cpp
+++ b/packages/daemon/engine/request_service.cpp
@@ -277,7 +277,7 @@
         return forward(work, *owner, std::move(done));
     }
     // After this time the ledger may have forgotten that the key ran.
-    if (core::wallNow() >= record->expiresAt)
+    if (std::max(m_recorded.ledger.latest(), core::wallNow()) >= record->expiresAt)
         return done({ResultCode::KeyExpired, "", ""});
     dispatch(work, {}, [this, name, object, done = std::move(done)](const Outcome &outcome) {
         recordOutcome(name, object, outcome);
@@ -303,7 +303,7 @@
     auto [it, added] = m_ledgers.try_emplace(
         id, LedgerState{{request.host, request.incarnation, request.secret}, {}, {}});
     if (added)
-        it->second.ledger.adopt(std::move(request.entries));
+        it->second.ledger.adopt(std::move(request.entries), request.latest);
     return true;
 }
 
@@ -319,7 +319,7 @@
     for (auto &it : m_ledgers) {
         auto &state = it.second;
         requests.push_back({state.issuer.host(), state.issuer.incarnation(), state.issuer.secret(),
-                            state.ledger.seal()});
+                            state.ledger.seal(), state.ledger.latest()});
     }
     return requests;
 }
--- a/packages/daemon/engine/service_state.cpp
+++ b/packages/daemon/engine/service_state.cpp
@@ -12,6 +12,9 @@
 constexpr double unknownHedgeDelayMs = 30;
 constexpr double shortestHedgeDelayMs = 2;
 constexpr double budgetBurst = 10;
+// A server that shed ran nothing, so a retry after it costs a message and no search.
+constexpr double shedRetryShare = 0.5;
+constexpr double shedRetryBurst = 100;
 constexpr double initialQueries = 16;
 
 policy::fanout::AttemptId nextAttempt()
@@ -30,6 +33,7 @@
           static_cast<double>(host.settings->queries.concurrent.value)),
       hedgeBudget(host.settings->queries.hedgeShare.value, budgetBurst),
       retryBudget(host.settings->queries.retryShare.value, budgetBurst),
+      shedBudget(shedRetryShare, shedRetryBurst),
       latency(host.settings->queries.hedgeQuantile.value, latencyWindow), m_name(std::move(name)),
       m_host(host), m_hooks(makeHooks())
 { }
@@ -74,8 +78,11 @@
         ++counters.hedges;
         return true;
     };
-    hooks.mayRetry = [this](int group, TimePoint now) {
-        if (servers.allShed(group, now) || !retryBudget.spend())
+    hooks.mayRetry = [this](int group, policy::fanout::Failure why, TimePoint now) {
+        if (servers.allShed(group, now))
+            return false;
+        auto &budget = why == policy::fanout::Failure::Shed ? shedBudget : retryBudget;
+        if (!budget.spend())
             return false;
         ++counters.retries;
         return true;
--- a/packages/daemon/engine/service_state.h
+++ b/packages/daemon/engine/service_state.h
@@ -55,6 +55,7 @@
     policy::admission::ServiceLimiter limiter;
     policy::retry::Budget hedgeBudget;
     policy::retry::Budget retryBudget;
+    policy::retry::Budget shedBudget;
     core::QuantileWindow latency;
     ServiceCounters counters;
 
--- a/packages/daemon/engine/status_board.h
+++ b/packages/daemon/engine/status_board.h
@@ -31,7 +31,7 @@
     std::vector<policy::membership::Member> members;
     // Reports as JSON texts, made by the engine.
     std::string servicesJson = "{}";
-    std::string metricsText;
+    std::string levelsJson = "[]";
     core::Millis keepFor{0};
 };
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -40,10 +40,11 @@
         arguments.help = parsed.count("help") != 0;
         arguments.helpText = options.help();
         arguments.check = parsed.count("check") != 0;
-        if (parsed.count("config") != 0)
+        if (parsed.count("config") != 0) {
             arguments.config = parsed["config"].as<std::string>();
-        else if (!arguments.help)
+        } else if (!arguments.help) {
             return core::Error{core::ResultCode::CommandLine, "--config FILE is missing"};
+        }
         return arguments;
     } catch (const std::exception &e) {
         return core::Error{core::ResultCode::CommandLine, e.what()};
--- a/packages/policy/config/lists.cpp
+++ b/packages/policy/config/lists.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t historyLength = 400;
 constexpr double maximumRate = 1e6;
+// A target of 1 would leave no budget to burn.
+constexpr double highestTarget = 0.99999;
 constexpr int maximumDeadlineMs = 60000;
 constexpr std::size_t maximumNameLength = 128;
 
@@ -122,6 +124,8 @@
     out.answerAfter = out.deadline / 2;
     reader.millis("answer_after_ms", out.answerAfter);
     reader.number("coverage_floor", 0, 1, out.coverageFloor);
+    reader.number("target_in_time", 0, highestTarget, out.targetInTime);
+    reader.number("target_coverage", 0, highestTarget, out.targetCoverage);
     return reader.finish();
 }
 
@@ -178,7 +182,9 @@
                                  {"prefer", core::nameIn(preferenceNames, it.prefer)},
                                  {"deadline_ms", it.deadline.count()},
                                  {"answer_after_ms", it.answerAfter.count()},
-                                 {"coverage_floor", it.coverageFloor}};
+                                 {"coverage_floor", it.coverageFloor},
+                                 {"target_in_time", it.targetInTime},
+                                 {"target_coverage", it.targetCoverage}};
         }
         object["plans"][name] = {{"rate_per_s", plan.ratePerSecond}, {"services", services}};
     }
--- a/packages/policy/config/lists.h
+++ b/packages/policy/config/lists.h
@@ -38,6 +38,9 @@
     core::Millis deadline{1000};
     core::Millis answerAfter{500};
     double coverageFloor = 0.0;
+    // Objectives of the report on burn: share of answers in time, and share of full answers.
+    double targetInTime = 0.99;
+    double targetCoverage = 0.999;
 };
 
 // One plan: its rate over the whole fleet and its services.
--- a/packages/policy/fanout/fanout.cpp
+++ b/packages/policy/fanout/fanout.cpp
@@ -10,6 +10,8 @@
 
 // Wait before a group without a usable server is tried again.
 constexpr core::Duration retryPause = std::chrono::milliseconds(5);
+// Wait before a group whose server was full is tried again.
+constexpr core::Duration shedPause = std::chrono::milliseconds(10);
 
 double share(const Answer &answer)
 {
@@ -60,6 +62,7 @@
     m_attempts[attempt] = {id, *server, now};
     group.tried.insert(*server);
     group.wantsServer = false;
+    group.postponed = false;
     group.hedgeAt = now + m_hooks.hedgeDelay(now);
     ++group.live;
     out.push_back(Send{attempt, *server, id, m_snapshot.id, m_query.deadline});
@@ -116,8 +119,10 @@
     if (!group.answered && group.live == 0) {
         // A missing snapshot ran nothing, so asking the next server is no extra work.
         const bool free = failure == Failure::SnapshotMissing || failure == Failure::Draining;
-        if (free || m_hooks.mayRetry(groupId, now))
+        if (free || m_hooks.mayRetry(groupId, failure, now))
             retryGroup(groupId, now, out);
+        else if (failure == Failure::Shed)
+            postpone(group, now);
         if (failure == Failure::SnapshotMissing && group.live == 0)
             fallBack(now, out);
     }
@@ -134,6 +139,15 @@
     group.retryAt = now + retryPause;
 }
 
+void Fanout::postpone(Group &group, TimePoint now)
+{
+    // Nothing ran, so the group is tried again once the servers stopped shedding.
+    group.wantsServer = true;
+    group.postponed = true;
+    group.retryAt = now + shedPause;
+    group.tried.clear();
+}
+
 void Fanout::fallBack(TimePoint now, std::vector<Action> &out)
 {
     const auto *other = m_hooks.otherSnapshot(m_triedSnapshots, now);
@@ -155,6 +169,10 @@
         if (group.answered)
             continue;
         if (group.wantsServer && now >= group.retryAt) {
+            if (group.postponed && !m_hooks.mayRetry(id, Failure::Shed, now)) {
+                postpone(group, now);
+                continue;
+            }
             retryGroup(id, now, out);
             // All servers were tried: a later try may use any of them again.
             if (group.wantsServer && group.live == 0)
--- a/packages/policy/fanout/fanout.h
+++ b/packages/policy/fanout/fanout.h
@@ -84,7 +84,7 @@
         pick;
     // Tells whether a hedge, or a retry, may be sent for the group; takes from the budget if so.
     std::function<bool(int group, core::TimePoint now)> mayHedge;
-    std::function<bool(int group, core::TimePoint now)> mayRetry;
+    std::function<bool(int group, Failure why, core::TimePoint now)> mayRetry;
     // Returns how long an attempt may take before it is hedged.
     std::function<core::Duration(core::TimePoint now)> hedgeDelay;
     // Returns the best snapshot that is not in `tried`, or null.
@@ -133,6 +133,8 @@
     {
         bool answered = false;
         bool wantsServer = false;
+        // The next try takes from the retry budget.
+        bool postponed = false;
         bool hedged = false;
         int live = 0;
         std::set<std::string> tried;
@@ -142,6 +144,7 @@
 
     void begin(const routing::Snapshot &snapshot, core::TimePoint now, std::vector<Action> &out);
     bool sendTo(int group, core::TimePoint now, std::vector<Action> &out);
+    static void postpone(Group &group, core::TimePoint now);
     void retryGroup(int group, core::TimePoint now, std::vector<Action> &out);
     void fallBack(core::TimePoint now, std::vector<Action> &out);
     void maybeFinish(core::TimePoint now, std::vector<Action> &out);
--- a/packages/policy/once/ledger.cpp
+++ b/packages/policy/once/ledger.cpp
@@ -7,11 +7,12 @@
 Verdict Ledger::decide(const std::string &key, const std::string &bodyDigest,
                        core::WallMillis expiresAt, core::WallMillis now)
 {
+    m_latest = std::max(m_latest, now);
     const auto it = m_entries.find(key);
     if (it == m_entries.end()) {
         if (m_sealed)
             return Verdict::Sealed;
-        if (now >= expiresAt)
+        if (m_latest >= expiresAt)
             return Verdict::Expired;
         m_entries[key] = {key, bodyDigest, EntryState::Running, {}, expiresAt};
         return Verdict::Run;
@@ -26,7 +27,7 @@
         return Verdict::Replay;
     if (m_sealed)
         return Verdict::Sealed;
-    if (now >= expiresAt)
+    if (m_latest >= expiresAt)
         return Verdict::Replay;
     entry.state = EntryState::Running;
     return Verdict::Run;
@@ -48,8 +49,9 @@
 
 void Ledger::expire(core::WallMillis now)
 {
-    std::erase_if(m_entries, [now](const auto &it) {
-        return it.second.state == EntryState::Ended && now >= it.second.expiresAt;
+    m_latest = std::max(m_latest, now);
+    std::erase_if(m_entries, [this](const auto &it) {
+        return it.second.state == EntryState::Ended && m_latest >= it.second.expiresAt;
     });
 }
 
@@ -67,8 +69,9 @@
     return entries;
 }
 
-void Ledger::adopt(std::vector<Entry> entries)
+void Ledger::adopt(std::vector<Entry> entries, core::WallMillis latest)
 {
+    m_latest = std::max(m_latest, latest);
     for (auto &it : entries) {
         auto key = it.key;
         m_entries.emplace(std::move(key), std::move(it));
--- a/packages/policy/once/ledger.h
+++ b/packages/policy/once/ledger.h
@@ -67,8 +67,12 @@
     // handed over as ended with an unknown outcome.
     std::vector<Entry> seal();
 
-    // Takes the entries of a sealed ledger.
-    void adopt(std::vector<Entry> entries);
+    // Takes the entries of a sealed ledger, and the latest time that it had seen, so that a slower
+    // clock here does not revive a key that was forgotten there.
+    void adopt(std::vector<Entry> entries, core::WallMillis latest);
+
+    // Returns the latest time seen. The wall clock may go back, a ledger's time never does.
+    core::WallMillis latest() const { return m_latest; }
 
     // Returns the number of keys under way.
     std::size_t running() const;
@@ -77,6 +81,7 @@
 
 private:
     std::map<std::string, Entry> m_entries;
+    core::WallMillis m_latest = 0;
     bool m_sealed = false;
 };
 
--- a/packages/policy/routing/server_table.cpp
+++ b/packages/policy/routing/server_table.cpp
@@ -85,7 +85,7 @@
 {
     if (server.leavingByNote || server.record.leaving)
         return false;
-    if (now < server.ejectedUntil)
+    if (now < server.ejectedUntil || shedLately(server, now))
         return false;
     return server.inFlight < capacity(server, now);
 }
@@ -119,8 +119,6 @@
     double factor = 1;
     if (server.firstUsedAt != TimePoint{} && now - server.firstUsedAt < m_limits.slowStart)
         factor *= slowStartPenalty;
-    if (shedLately(server, now))
-        factor *= 2;
     return latency * busy * factor * (1 + server.failuresInRow);
 }
 
@@ -189,7 +187,7 @@
                                         std::max(1, m_limits.connectionShare(server.record)));
         return;
     case AttemptEnd::Shed:
-        if (now - server.shedAt > m_limits.shedMemory / 5)
+        if (now - server.shedAt > m_limits.shedMemory)
             server.limit = std::max(minimumLimit, server.limit * limitDecrease);
         server.shedAt = now;
         return;
@@ -340,6 +338,14 @@
     return ids;
 }
 
+bool ServerTable::answeredWithin(const std::string &id, core::Duration period, TimePoint now) const
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end() || it->second.answeredAt == TimePoint{})
+        return false;
+    return now - it->second.answeredAt < period;
+}
+
 int ServerTable::inFlight(const std::string &id) const
 {
     const auto it = m_servers.find(id);
--- a/packages/policy/routing/server_table.h
+++ b/packages/policy/routing/server_table.h
@@ -55,7 +55,8 @@
     // Share of a server's connections that this host may open.
     std::function<int(const ServerRecord &)> connectionShare;
     core::Duration slowStart = std::chrono::seconds(5);
-    core::Duration shedMemory = std::chrono::milliseconds(500);
+    // Time for which a server that shed counts as full.
+    core::Duration shedMemory = std::chrono::milliseconds(20);
     core::Duration ejection = std::chrono::seconds(1);
     core::Duration sampleHalfLife = std::chrono::seconds(5);
     double unknownLatencyMs = 10;
@@ -120,6 +121,9 @@
     // Returns the ids of all listed servers.
     std::vector<std::string> ids() const;
 
+    // Tells whether the server answered within `period`, so that its state is known.
+    bool answeredWithin(const std::string &id, core::Duration period, core::TimePoint now) const;
+
     // Returns attempts under way to a server.
     int inFlight(const std::string &id) const;
 
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -85,6 +85,7 @@
     std::uint64_t incarnation = 0;
     std::string secret;
     std::vector<policy::once::Entry> entries;
+    core::WallMillis latest = 0;
 };
 struct AdoptAnswer
 {
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -36,11 +36,8 @@
 {
 public:
     explicit RevisionWatch(const Cluster &cluster)
-        : m_cluster(cluster)
-        , m_highest(cluster.size(), 0)
-        , m_thread([this] { work(); })
-    {
-    }
+        : m_cluster(cluster), m_highest(cluster.size(), 0), m_thread([this] { work(); })
+    { }
     ~RevisionWatch() { finish(); }
 
     int falls()
@@ -86,8 +83,8 @@
     shape.hosts = 6;
     Cluster cluster(shape);
     for (int change = 0; change < 5; ++change) {
-        const auto result
-            = cluster.applyLists(listsWith("c" + std::to_string(change)), {"--on-newest"});
+        const auto result =
+            cluster.applyLists(listsWith("c" + std::to_string(change)), {"--on-newest"});
         REQUIRE(result.exitCode == 0);
         const auto acceptedAt = Clock::now();
         const auto revision = static_cast<std::uint64_t>(change) + 2;
@@ -169,9 +166,10 @@
             for (int edit = 0; edit < 50; ++edit) {
                 const auto id = std::to_string(number) + "-" + std::to_string(edit);
                 const auto base = std::max<std::uint64_t>(1, revisionOf(cluster, 0));
-                const auto result = cluster.applyLists(
-                    listsWith("c" + id), {"--base", std::to_string(base), "--change-id", id,
-                                          "--author", "op" + std::to_string(number)});
+                const auto result =
+                    cluster.applyLists(listsWith("c" + id),
+                                       {"--base", std::to_string(base), "--change-id", id,
+                                        "--author", "op" + std::to_string(number)});
                 const std::lock_guard lock(mutex);
                 reports.push_back({id, result.exitCode, result.output});
             }
@@ -199,7 +197,8 @@
             ++unknown;
         }
     }
-    std::cout << "accepted " << accepted << " refused " << refused << " unknown " << unknown << '\n';
+    std::cout << "accepted " << accepted << " refused " << refused << " unknown " << unknown
+              << '\n';
     CHECK(unknown == 0);
     CHECK(accepted > 0);
     CHECK(final.at("revision") == final.at("history").size());
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -22,8 +22,8 @@
 
 bool namedAsEntryPoint(const Cluster &cluster, std::size_t asked, const std::string &name)
 {
-    const auto answer
-        = parsed(get(const_cast<Cluster &>(cluster).host(asked).control + "/v1/entry-points"));
+    const auto answer =
+        parsed(get(const_cast<Cluster &>(cluster).host(asked).control + "/v1/entry-points"));
     return !answer.is_null() && answer.dump().find("\"" + name + "\"") != std::string::npos;
 }
 
--- a/tests/process/once_test.cpp
+++ b/tests/process/once_test.cpp
@@ -56,8 +56,7 @@
 {
 public:
     Claimants(Cluster &cluster, int threads, bool ownedKeys)
-        : m_cluster(cluster)
-        , m_ownedKeys(ownedKeys)
+        : m_cluster(cluster), m_ownedKeys(ownedKeys)
     {
         for (int i = 0; i < threads; ++i)
             m_threads.emplace_back([this, i] { work(i); });
@@ -87,8 +86,8 @@
                 continue;
             const auto body = "{\"claim\":\"" + it.key + "\"}";
             for (int attempt = 0; attempt < 4; ++attempt) {
-                const auto result
-                    = m_cluster.request(random() % m_cluster.size(), service, it.key, body, 400);
+                const auto result =
+                    m_cluster.request(random() % m_cluster.size(), service, it.key, body, 400);
                 // A refused connection carried nothing, so it proves nothing about the key.
                 if (result.end == TransferEnd::NotReached)
                     continue;
@@ -227,7 +226,7 @@
     Cluster cluster({});
     const auto key = cluster.key(0);
     cluster.host(0).process->signal(SIGKILL);
-    CHECK(eventually([&] { return parsed(cluster.request(1, service, key)).value("code", 0) == 3001; },
-                     10));
+    CHECK(eventually(
+        [&] { return parsed(cluster.request(1, service, key)).value("code", 0) == 3001; }, 10));
     CHECK(cluster.executions(service).count(key) == 0);
 }
--- a/tests/process/servers_test.cpp
+++ b/tests/process/servers_test.cpp
@@ -54,7 +54,8 @@
     }));
     // Servers drop the old version one by one, while hosts may still pin it.
     for (int group = 0; group < 10; ++group)
-        cluster.setServers({{"service", service}, {"group", group}}, {{"drop", json::array({"1.1"})}});
+        cluster.setServers({{"service", service}, {"group", group}},
+                           {{"drop", json::array({"1.1"})}});
     const int before = callers.answers();
     REQUIRE(eventually([&] { return callers.answers() > before + 300; }));
     const auto seen = callers.finish();
@@ -76,7 +77,8 @@
                          {"documents", documents(10, 2000)}});
     for (int group = 0; group < 10; ++group) {
         if (group != 3)
-            cluster.setServers({{"service", service}, {"group", group}}, {{"hold", {{"2.1", 2000}}}});
+            cluster.setServers({{"service", service}, {"group", group}},
+                               {{"hold", {{"2.1", 2000}}}});
     }
     cluster.publishServers();
     for (int i = 0; i < 40; ++i) {
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -45,9 +45,11 @@
 {
     CHECK(check(good).exitCode == 0);
     expectRefused("[host\n", "4001", "settings.toml:1:");
-    expectRefused(replaced("zone = \"a\"", "zone = \"a\"\ncolour = 1"), "4002", ":4: key 'host.colour'");
+    expectRefused(replaced("zone = \"a\"", "zone = \"a\"\ncolour = 1"), "4002",
+                  ":4: key 'host.colour'");
     expectRefused(replaced("\"127.0.0.1:7100\"", "7100"), "4003", ":9: key 'platform.address'");
-    expectRefused(replaced("127.0.0.1:7001", "localhost:7001"), "4004", "an IP address with a port");
+    expectRefused(replaced("127.0.0.1:7001", "localhost:7001"), "4004",
+                  "an IP address with a port");
     expectRefused(replaced("name = \"h\"", "name = \"h.x\""), "4004", "host.name");
     expectRefused(replaced("address = \"127.0.0.1:7100\"", ""), "4005", "platform.address");
     expectRefused(good + "watch_ms = 5\n", "4004", "an integer from 100");
@@ -83,8 +85,8 @@
     const auto checked = runCommand({cli, "config", "check", lists});
     CHECK(checked.exitCode == 1);
     CHECK(checked.output.find("5004") == 0);
-    CHECK(runCommand({cli, "config", "get", "--platform", cluster.platform()}).output.find(
-              "revision 1")
+    CHECK(runCommand({cli, "config", "get", "--platform", cluster.platform()})
+              .output.find("revision 1")
           == 0);
     CHECK(runCommand({cli, "config", "history", "--platform", cluster.platform()}).exitCode == 0);
     CHECK(runCommand({cli, "status", "--host", host.control}).exitCode == 0);
--- a/tests/unit/fanout_test.cpp
+++ b/tests/unit/fanout_test.cpp
@@ -79,7 +79,7 @@
             return std::nullopt;
         };
         out.mayHedge = [this](int, TimePoint) { return hedgesLeft-- > 0; };
-        out.mayRetry = [this](int, TimePoint) { return retriesLeft-- > 0; };
+        out.mayRetry = [this](int, Failure, TimePoint) { return retriesLeft-- > 0; };
         out.hedgeDelay = [](TimePoint) { return 20ms; };
         out.otherSnapshot = [this](const std::set<SnapshotId> &tried,
                                    TimePoint) -> const policy::routing::Snapshot * {
--- a/tests/unit/once_test.cpp
+++ b/tests/unit/once_test.cpp
@@ -72,6 +72,17 @@
     });
 }
 
+TEST_CASE("a successor with a slow clock does not revive a forgotten key", "[once]")
+{
+    Ledger ledger;
+    CHECK(ledger.decide("k", "one", 100, 0) == Verdict::Run);
+    ledger.complete("k", {ResultCode::Ok, "", ""});
+    ledger.expire(150);
+    Ledger successor;
+    successor.adopt(ledger.seal(), ledger.latest());
+    CHECK(successor.decide("k", "one", 100, 50) == Verdict::Expired);
+}
+
 TEST_CASE("another body, an expired key and a sealed ledger are told apart", "[once]")
 {
     Ledger ledger;
@@ -89,7 +100,7 @@
     const auto entries = ledger.seal();
     CHECK(ledger.decide("other", "one", 200, 100) == Verdict::Sealed);
     Ledger successor;
-    successor.adopt(entries);
+    successor.adopt(entries, ledger.latest());
     CHECK(successor.decide("new", "one", 200, 100) == Verdict::Replay);
     CHECK(successor.outcome("new").code == ResultCode::OutcomeUnknown);
     CHECK(successor.decide("other", "one", 200, 100) == Verdict::Run);
