Make the linter clean and the overload test a real overload

Cause: the linter found braces missing around bodies of several lines, parameters copied for each call and a vector without reserve. The overload test sent 60 callers at servers that could serve them: 14,585 answers, 1,123 refusals by other callers and none in its own 200 tries.

Change: the linter's fixes; the test slows the servers to 30 ms a search, so that 60 callers ask for more than the slots can serve. Its checks are as they were.

--- a/packages/cli/burn_report.cpp
+++ b/packages/cli/burn_report.cpp
@@ -51,12 +51,13 @@
 {
     std::string out;
     for (const char c : text) {
-        if (c == '<')
+        if (c == '<') {
             out += "&lt;";
-        else if (c == '&')
+        } else if (c == '&') {
             out += "&amp;";
-        else
+        } else {
             out += c;
+        }
     }
     return out;
 }
@@ -120,6 +121,7 @@
         }
     }
     std::vector<BurnRow> out;
+    out.reserve(rows.size());
     for (auto &it : rows)
         out.push_back(std::move(it.second));
     return out;
--- a/packages/cli/config_commands.cpp
+++ b/packages/cli/config_commands.cpp
@@ -103,10 +103,11 @@
             continue;
         }
         const auto object = store.read();
-        if (object.has_value())
+        if (object.has_value()) {
             next = writer.onRead(object.value().version, object.value().text, core::wallNow());
-        else
+        } else {
             std::this_thread::sleep_for(pauseBetweenTries);
+        }
     }
 }
 
@@ -143,10 +144,11 @@
     if (!edit.has_value())
         return fail(edit.error());
     std::optional<std::uint64_t> base;
-    if (parsed.count("base") != 0)
+    if (parsed.count("base") != 0) {
         base = parsed["base"].as<std::uint64_t>();
-    else if (parsed.count("on-newest") == 0)
+    } else if (parsed.count("on-newest") == 0) {
         return usageError("--base REVISION (see config get) or --on-newest is needed");
+    }
     auto changeId = parsed["change-id"].as<std::string>();
     constexpr int changeIdBytes = 16;
     if (changeId.empty())
@@ -172,9 +174,10 @@
         std::cout << config::printLists(lists) << '\n';
         return ExitDone;
     }
-    for (const auto &it : lists.history)
+    for (const auto &it : lists.history) {
         std::cout << it.revision << "  " << it.acceptedAt << "  " << it.author << "  "
                   << it.changeId << '\n';
+    }
     return ExitDone;
 }
 
--- a/packages/cli/load_command.cpp
+++ b/packages/cli/load_command.cpp
@@ -94,10 +94,11 @@
         transfer.body = body;
         transfer.timeout = core::Millis(m_plan.deadlineMs) + spareTime;
         ++m_open;
-        m_client.start(std::move(transfer), [this, body, dueAt = m_dueAt](TransferResult result) {
-            --m_open;
-            m_recorder.add(judge(result, *body, Clock::now() - dueAt));
-        });
+        m_client.start(std::move(transfer),
+                       [this, body, dueAt = m_dueAt](const TransferResult &result) {
+                           --m_open;
+                           m_recorder.add(judge(result, *body, Clock::now() - dueAt));
+                       });
     }
 
     // Asks one server of every group, chosen at random; the query ends with the last answer.
@@ -271,10 +272,11 @@
         }
         report = run.run([&](LoadRun &it) { it.sendDirect(service.value()); });
     }
-    if (parsed->count("json") != 0)
+    if (parsed->count("json") != 0) {
         std::cout << report.dump() << '\n';
-    else
+    } else {
         print(report);
+    }
     return ExitDone;
 }
 
--- a/packages/cli/main.cpp
+++ b/packages/cli/main.cpp
@@ -31,9 +31,10 @@
 {
     std::cout << "usage: goldcrestline COMMAND [OPTIONS]\n\ncommands:\n";
     constexpr std::size_t column = 16;
-    for (const auto &it : commands)
+    for (const auto &it : commands) {
         std::cout << "  " << it.name << std::string(column - it.name.size(), ' ') << it.help
                   << '\n';
+    }
     std::cout << "\nexit codes: 0 done, 1 refused and not run, 2 usage, 3 outcome unknown\n"
                  "'goldcrestline COMMAND --help' shows a command's options\n";
     return ExitDone;
--- a/packages/cli/report_command.cpp
+++ b/packages/cli/report_command.cpp
@@ -41,10 +41,11 @@
             return usageError("cannot write " + path);
         return ExitDone;
     }
-    if (parsed->count("json") != 0)
+    if (parsed->count("json") != 0) {
         std::cout << burnJson(rows).dump() << '\n';
-    else
+    } else {
         std::cout << burnTable(rows);
+    }
     return ExitDone;
 }
 
--- a/packages/daemon/control/routes.cpp
+++ b/packages/daemon/control/routes.cpp
@@ -182,9 +182,10 @@
     const auto services = json::parse(board->servicesJson);
     for (const auto &service : services.items()) {
         for (const auto &it : service.value().items()) {
-            if (it.value().is_number())
+            if (it.value().is_number()) {
                 text << "goldcrestline_service_" << it.key() << "{service=\"" << service.key()
                      << "\"} " << it.value().dump() << '\n';
+            }
         }
     }
     ports::HttpResponse response;
--- a/packages/daemon/engine/request_service.cpp
+++ b/packages/daemon/engine/request_service.cpp
@@ -93,7 +93,7 @@
     runRecorded(std::move(work), std::move(reply));
 }
 
-void RequestService::runOwned(Work work, const policy::once::OwnedKey &key, Reply reply)
+void RequestService::runOwned(const Work &work, const policy::once::OwnedKey &key, Reply reply)
 {
     const auto ledger = m_ledgers.find({key.host, key.incarnation});
     if (ledger != m_ledgers.end()) {
@@ -103,9 +103,10 @@
             return reply({fits.error().code, fits.error().detail, ""});
         if (!decide(state, work, key.expiresAt, reply))
             return;
-        return dispatch(work, {}, [this, issuer = ledger->first, name = work.key](Outcome outcome) {
-            complete(m_ledgers.at(issuer), name, outcome);
-        });
+        return dispatch(work, {},
+                        [this, issuer = ledger->first, name = work.key](const Outcome &outcome) {
+                            complete(m_ledgers.at(issuer), name, outcome);
+                        });
     }
     const auto decider = m_host.members.deciderOf(key.host, key.incarnation);
     if (work.forwarded || decider.empty() || decider == m_host.keys->host())
@@ -203,7 +204,7 @@
     dispatch(work, std::move(tried), std::move(done));
 }
 
-void RequestService::runRecorded(Work work, Reply reply)
+void RequestService::runRecorded(const Work &work, Reply reply)
 {
     const auto expiresAt = core::wallNow() + m_host.settings->callers.keyLifeMs.value;
     // Customers may choose the same key; the ledger keeps them apart.
@@ -213,8 +214,9 @@
         return;
     const auto name =
         "once/" + core::sha256Hex(work.customer + "\n" + work.service + "\n" + work.key);
-    writeRecord(work, name, expiresAt,
-                [this, key = scoped.key](Outcome outcome) { complete(m_recorded, key, outcome); });
+    writeRecord(work, name, expiresAt, [this, key = scoped.key](const Outcome &outcome) {
+        complete(m_recorded, key, outcome);
+    });
 }
 
 void RequestService::writeRecord(const Work &work, const std::string &name,
--- a/packages/daemon/engine/request_service.h
+++ b/packages/daemon/engine/request_service.h
@@ -67,8 +67,8 @@
     using IssuerId = std::pair<std::string, std::uint64_t>;
 
     void run(Work work, Reply reply);
-    void runOwned(Work work, const policy::once::OwnedKey &key, Reply reply);
-    void runRecorded(Work work, Reply reply);
+    void runOwned(const Work &work, const policy::once::OwnedKey &key, Reply reply);
+    void runRecorded(const Work &work, Reply reply);
     void forward(const Work &work, const policy::membership::Member &to, Reply reply);
     bool decide(LedgerState &state, const Work &work, core::WallMillis expiresAt, Reply &reply);
     void complete(LedgerState &state, const std::string &key, const policy::once::Outcome &outcome);
--- a/packages/daemon/engine/service_state.cpp
+++ b/packages/daemon/engine/service_state.cpp
@@ -85,10 +85,11 @@
         return servers.pick(group, exclude, snapshot, now);
     };
     hooks.setWaiting = [this](std::uint64_t order, int group, bool waits) {
-        if (waits)
+        if (waits) {
             m_waiting[group].insert(order);
-        else
+        } else {
             m_waiting[group].erase(order);
+        }
     };
     hooks.mayHedge = [this](int, TimePoint) {
         if (!hedgeBudget.spend())
--- a/packages/policy/config/lists.cpp
+++ b/packages/policy/config/lists.cpp
@@ -38,9 +38,10 @@
         if (!value.is_number())
             return fail(ResultCode::ListsWrongType, key, "a number");
         const double n = value.get<double>();
-        if (!(n >= low && n <= high))
+        if (!(n >= low && n <= high)) {
             return fail(ResultCode::ListsOutOfRange, key,
                         std::to_string(low) + " to " + std::to_string(high));
+        }
         out = n;
     }
 
@@ -151,9 +152,10 @@
         reader.text("plan", plan);
         if (auto error = reader.finish())
             return error;
-        if (out.plans.count(plan) == 0)
+        if (out.plans.count(plan) == 0) {
             return Error{ResultCode::ListsUnknownPlan,
                          "customers." + it.key() + ".plan names '" + plan + "', which is no plan"};
+        }
         out.planOfCustomer[it.key()] = plan;
     }
     return std::nullopt;
--- a/packages/policy/fanout/fanout.cpp
+++ b/packages/policy/fanout/fanout.cpp
@@ -131,10 +131,11 @@
     if (!group.answered && group.live == 0) {
         // A missing snapshot ran nothing, so asking the next server is no extra work.
         const bool free = failure == Failure::SnapshotMissing || failure == Failure::Draining;
-        if (free || m_hooks.mayRetry(groupId, failure, now))
+        if (free || m_hooks.mayRetry(groupId, failure, now)) {
             retryGroup(groupId, now, out);
-        else if (failure == Failure::Shed)
+        } else if (failure == Failure::Shed) {
             postpone(groupId, now);
+        }
         if (failure == Failure::SnapshotMissing && group.live == 0)
             fallBack(now, out);
     }
@@ -260,10 +261,11 @@
         const auto &group = it.second;
         if (group.answered)
             continue;
-        if (group.wantsServer)
+        if (group.wantsServer) {
             wake = std::min(wake, group.retryAt);
-        else if (group.live == 1 && !group.hedged)
+        } else if (group.live == 1 && !group.hedged) {
             wake = std::min(wake, group.hedgeAt);
+        }
     }
     return wake;
 }
--- a/packages/policy/limits/lending.cpp
+++ b/packages/policy/limits/lending.cpp
@@ -91,10 +91,11 @@
     m_asked = false;
     m_lenderSilent = false;
     m_lenderEmpty = tokens < wanted;
-    if (tokens == 0)
+    if (tokens == 0) {
         m_emptyUntil = now + emptyPause;
-    else
+    } else {
         m_loans.push_back({tokens, now + m_times.loanLife});
+    }
 }
 
 void Borrower::onLenderSilent()
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-MemberTable::MemberTable(Member self, std::vector<std::string> seeds, MembershipTimes times,
+MemberTable::MemberTable(Member self, const std::vector<std::string> &seeds, MembershipTimes times,
                          std::function<unsigned(unsigned)> random)
     : m_self(std::move(self)), m_times(times), m_random(std::move(random))
 {
@@ -146,10 +146,11 @@
         }
         const bool gone =
             peer.member.state == MemberState::Dead || peer.member.state == MemberState::Left;
-        if (gone && age > m_times.forgetting)
+        if (gone && age > m_times.forgetting) {
             it = m_peers.erase(it);
-        else
+        } else {
             ++it;
+        }
     }
     std::erase_if(m_handovers,
                   [&](const auto &it) { return now - it.second.second > m_times.handoverMemory; });
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -53,7 +53,7 @@
 {
 public:
     // `random` returns a uniform number in [0, n).
-    MemberTable(Member self, std::vector<std::string> seeds, MembershipTimes times,
+    MemberTable(Member self, const std::vector<std::string> &seeds, MembershipTimes times,
                 std::function<unsigned(unsigned)> random);
 
     // Runs one period. Call every `times.period`.
--- a/tests/process/servers_test.cpp
+++ b/tests/process/servers_test.cpp
@@ -195,6 +195,8 @@
 TEST_CASE("overload is refused at once with when to come back", "[process][overload]")
 {
     Cluster cluster({});
+    // Searches of 30 ms leave room for 200 queries a second; 60 callers ask for many more.
+    cluster.setServers({{"service", service}}, {{"straggle", 5}});
     Callers callers(cluster, 60, service, 300);
     REQUIRE(eventually([&] { return callers.answers() > 2000; }, 60));
     const auto refusal = [&] {
