--- a/packages/daemon/engine/request_service.cpp
+++ b/packages/daemon/engine/request_service.cpp
@@ -66,7 +66,7 @@
             Work work{admitted.customer, service, key, std::move(shared->request.body),
                       admitted.deadline, false};
             ++m_running;
-            run(std::move(work), [this, shared](const Outcome &outcome) {
+            run(work, [this, shared](const Outcome &outcome) {
                 --m_running;
                 shared->respond(answerFor(outcome));
             });
@@ -78,10 +78,10 @@
 {
     Work work{std::move(request.customer), std::move(request.service), std::move(request.key),
               std::move(request.body),     now + request.timeLeft,     true};
-    run(std::move(work), std::move(reply));
+    run(work, std::move(reply));
 }
 
-void RequestService::run(Work work, Reply reply)
+void RequestService::run(const Work &work, Reply reply)
 {
     auto *service = m_queries.find(work.service);
     if (service == nullptr || service->sharded())
@@ -89,8 +89,8 @@
     if (work.key.empty())
         return dispatch(work, {}, std::move(reply));
     if (const auto owned = policy::once::parseOwnedKey(work.key))
-        return runOwned(std::move(work), *owned, std::move(reply));
-    runRecorded(std::move(work), std::move(reply));
+        return runOwned(work, *owned, std::move(reply));
+    runRecorded(work, std::move(reply));
 }
 
 void RequestService::runOwned(const Work &work, const policy::once::OwnedKey &key, Reply reply)
--- a/packages/daemon/engine/request_service.h
+++ b/packages/daemon/engine/request_service.h
@@ -66,7 +66,7 @@
     };
     using IssuerId = std::pair<std::string, std::uint64_t>;
 
-    void run(Work work, Reply reply);
+    void run(const Work &work, Reply reply);
     void runOwned(const Work &work, const policy::once::OwnedKey &key, Reply reply);
     void runRecorded(const Work &work, Reply reply);
     void forward(const Work &work, const policy::membership::Member &to, Reply reply);
--- a/packages/policy/config/lists.cpp
+++ b/packages/policy/config/lists.cpp
@@ -136,7 +136,7 @@
     reader.number("rate_per_s", 0, maximumRate, out.ratePerSecond);
     const auto &services = reader.object("services");
     for (const auto &it : services.items()) {
-        const auto error =
+        auto error =
             readAllowance(it.value(), path + "services." + it.key() + ".", out.services[it.key()]);
         if (error)
             return error;
