--- a/packages/adapters/logging/log.h
+++ b/packages/adapters/logging/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/name_table.h"
+
 #include <string>
 #include <string_view>
 
@@ -8,6 +10,13 @@
 
 enum class Level { Debug, Info, Warning, Error };
 
+inline constexpr core::NameTable<Level, 4> levelNames{{
+    {Level::Debug, "debug"},
+    {Level::Info, "info"},
+    {Level::Warning, "warning"},
+    {Level::Error, "error"},
+}};
+
 // Sets the lowest level that is printed. Call once, before other threads start.
 void configure(Level level);
 
--- a/packages/adapters/settings/settings.cpp
+++ b/packages/adapters/settings/settings.cpp
@@ -1,5 +1,7 @@
 #include "adapters/settings/settings.h"
 
+#include "adapters/logging/log.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -197,6 +199,10 @@
                            "platform.watch_ms, which is "
                          + std::to_string(watch)};
     }
+    if (!core::valueIn(logging::levelNames, settings.log.level.value)) {
+        return Error{ResultCode::SettingsOutOfRange,
+                     file + ": key 'log.level': expected debug, info, warning or error"};
+    }
     return std::nullopt;
 }
 
--- a/packages/daemon/engine/admission_gate.cpp
+++ b/packages/daemon/engine/admission_gate.cpp
@@ -36,8 +36,6 @@
 void AdmissionGate::pass(const std::string &service, const ports::HttpRequest &request,
                          TimePoint now, Next next, Refuse refuse)
 {
-    if (m_host.refusingNewWork)
-        return refuse(answerFor(ResultCode::HostStopping, "", stateRetryAfter));
     if (!m_host.lists || !m_host.fleet)
         return refuse(answerFor(ResultCode::NoConfiguration, "", stateRetryAfter));
     if (m_host.behind(now))
--- a/packages/daemon/engine/host_state.h
+++ b/packages/daemon/engine/host_state.h
@@ -35,7 +35,6 @@
     std::shared_ptr<const policy::routing::Fleet> fleet;
     // Highest revision of the lists that any host or the platform spoke of.
     std::uint64_t highestListsRevision = 0;
-    bool refusingNewWork = false;
     TimerQueue timers;
     std::mt19937 random{std::random_device{}()};
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -51,16 +51,6 @@
     }
 }
 
-adapters::logging::Level levelOf(const std::string &name)
-{
-    using adapters::logging::Level;
-    if (name == "debug")
-        return Level::Debug;
-    if (name == "warning")
-        return Level::Warning;
-    return name == "error" ? Level::Error : Level::Info;
-}
-
 int serve(const std::shared_ptr<const adapters::settings::Settings> &settings)
 {
     // Threads inherit the mask, so that only this thread takes the signals.
@@ -122,7 +112,9 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    adapters::logging::configure(levelOf(settings.value()->log.level.value));
+    // The settings were checked, so the level is one of the table.
+    adapters::logging::configure(
+        *core::valueIn(adapters::logging::levelNames, settings.value()->log.level.value));
     try {
         return serve(settings.value());
     } catch (const std::exception &e) {
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -55,6 +55,7 @@
     expectRefused(good + "watch_ms = 5\n", "4004", "an integer from 100");
     expectRefused(good + "watch_ms = 5000\n", "4004", "peers.confirmation_ms");
     expectRefused(good + "[queries]\nhedge_share = 2.0\n", "4004", "queries.hedge_share");
+    expectRefused(good + "[log]\nlevel = \"loud\"\n", "4004", "log.level");
     const auto missing = runCommand(
         {programPath("packages/daemon/goldcrestlined"), "--config", "/nowhere.toml", "--check"});
     CHECK(missing.output.find("4000") == 0);
