Test the burn report and the metrics through the command line

Cause: the report and the metrics had no test. Change: the command line's test reads the burn as JSON and as a page, and the metrics; one function reads files in the harness. The page was not looked at as a picture.

--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -92,10 +92,7 @@
 
 std::string Process::output() const
 {
-    std::ifstream file(m_outputPath);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return readFile(m_outputPath);
 }
 
 std::string Process::waitForLine(const std::string &prefix) const
@@ -217,4 +214,12 @@
     std::ofstream(path) << text;
 }
 
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 } // namespace harness
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -57,7 +57,8 @@
 // Returns `n` different ports that are free now.
 std::vector<int> freePorts(std::size_t n);
 
-// Writes a file.
+// Writes or reads a whole file.
 void writeFile(const std::string &path, const std::string &text);
+std::string readFile(const std::string &path);
 
 } // namespace harness
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -90,6 +90,20 @@
               .output.find("revision 1")
           == 0);
     CHECK(runCommand({cli, "config", "history", "--platform", cluster.platform()}).exitCode == 0);
+    // The host's status is a fifth of a second old at most.
+    const auto burn = [&] {
+        return json::parse(
+            runCommand({cli, "report", "burn", "--host", host.control, "--json"}).output);
+    };
+    REQUIRE(eventually([&] { return !burn().empty(); }));
+    CHECK(burn().at(0).at("plan") == "doorstep");
+    CHECK(burn().at(0).at("short").at("total") == 1);
+    CHECK(burn().at(0).at("short").at("late_burn") == 0);
+    const auto page = scratchFolder() + "/burn.html";
+    CHECK(runCommand({cli, "report", "burn", "--host", host.control, "--html", page}).exitCode
+          == 0);
+    CHECK(readFile(page).find("<svg") != std::string::npos);
+    CHECK(get(host.control + "/v1/metrics").body.find("goldcrestline_serving 1") == 0);
     CHECK(runCommand({cli, "status", "--host", host.control}).exitCode == 0);
     CHECK(runCommand({cli, "entry-points", "--host", host.control}).output.find(host.callers) == 0);
     CHECK(runCommand({cli, "keys", "--host", host.control, "--customer", "app"}).exitCode == 0);
