--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -53,7 +53,7 @@
     unit_tests "a ledger runs each key at most once unless it truly did not run"
 mutant clock-back $policy/once/ledger.cpp \
     's/m_latest = std::max\(m_latest, now\);/m_latest = now;/g' \
-    unit_tests "a ledger runs each key at most once unless it truly did not run"
+    unit_tests "a clock that goes back does not revive a forgotten key"
 mutant lists-revert $policy/config/document.h \
     's/revision <= m_revision/revision == m_revision/' \
     unit_tests "a document only moves to higher revisions"
--- a/tests/unit/fanout_test.cpp
+++ b/tests/unit/fanout_test.cpp
@@ -122,6 +122,7 @@
             break;
         case Fault::ForeignSnapshot:
             event.reply.snapshot.indexVersion += 1;
+            event.reply.body = event.reply.snapshot.text() + "/" + std::to_string(send.group);
             break;
         case Fault::Inflated:
             event.reply.documents = 10 * documentsPerGroup;
--- a/tests/unit/once_test.cpp
+++ b/tests/unit/once_test.cpp
@@ -72,6 +72,16 @@
     });
 }
 
+TEST_CASE("a clock that goes back does not revive a forgotten key", "[once]")
+{
+    Ledger ledger;
+    CHECK(ledger.decide("k", "one", 100, 0) == Verdict::Run);
+    ledger.complete("k", {ResultCode::Ok, "", ""});
+    ledger.expire(150);
+    CHECK(ledger.size() == 0);
+    CHECK(ledger.decide("k", "one", 100, 50) == Verdict::Expired);
+}
+
 TEST_CASE("a successor with a slow clock does not revive a forgotten key", "[once]")
 {
     Ledger ledger;
