--- a/packages/daemon/engine/query_service.cpp
+++ b/packages/daemon/engine/query_service.cpp
@@ -178,8 +178,8 @@
     ports::SearchCall call{send.server,   record->address, query.queryId, send.group,
                            send.snapshot, send.deadline,   query.body};
     query.calls[send.attempt] = m_channel.search(
-        std::move(call), [this, id = query.id, send, now](ports::ServerResult result) {
-            onResult(id, send, now, std::move(result));
+        std::move(call), [this, &service, id = query.id, send, now](ports::ServerResult result) {
+            onResult(service, id, send, now, std::move(result));
         });
 }
 
@@ -192,31 +192,21 @@
         service.servers.holds(serverId, it);
 }
 
-void QueryService::onResult(std::uint64_t queryId, const policy::fanout::Send &send,
-                            TimePoint sentAt, ports::ServerResult result)
+void QueryService::onResult(ServiceState &service, std::uint64_t queryId,
+                            const policy::fanout::Send &send, TimePoint sentAt,
+                            ports::ServerResult result)
 {
     const auto now = core::Clock::now();
-    const auto it = m_running.find(queryId);
-    // The service outlives its queries: services are never removed.
-    auto *service = it != m_running.end() ? it->second->service : nullptr;
-    if (service == nullptr) {
-        for (auto &entry : m_services) {
-            if (entry.second->servers.record(send.server) != nullptr)
-                service = entry.second.get();
-        }
-    }
-    if (service == nullptr)
-        return;
-    service->servers.ended(send.server, result.end, sentAt, now);
-    learn(*service, send.server, result, now);
+    service.servers.ended(send.server, result.end, sentAt, now);
+    learn(service, send.server, result, now);
     if (result.snapshotMissing)
-        service->servers.lacks(send.server, send.snapshot, now);
+        service.servers.lacks(send.server, send.snapshot, now);
     if (result.end == AttemptEnd::Shed)
-        ++service->counters.sheds;
+        ++service.counters.sheds;
     const bool answered = result.end == AttemptEnd::Answered && !result.snapshotMissing;
     if (answered)
-        service->latency.add(core::toMillis(now - sentAt), now);
-    offerRoom(*service, send.group, now);
+        service.latency.add(core::toMillis(now - sentAt), now);
+    offerRoom(service, send.group, now);
     // The query may have ended by what was just offered.
     const auto running = m_running.find(queryId);
     if (running == m_running.end())
--- a/packages/daemon/engine/query_service.h
+++ b/packages/daemon/engine/query_service.h
@@ -92,8 +92,9 @@
     bool join(const std::string &joinKey, Waiter &waiter, core::TimePoint deadline);
     void apply(Running &query, std::vector<policy::fanout::Action> actions, core::TimePoint now);
     void send(Running &query, const policy::fanout::Send &send, core::TimePoint now);
-    void onResult(std::uint64_t queryId, const policy::fanout::Send &send, core::TimePoint sentAt,
-                  ports::ServerResult result);
+    // `service` outlives every call: services are never removed.
+    void onResult(ServiceState &service, std::uint64_t queryId, const policy::fanout::Send &send,
+                  core::TimePoint sentAt, ports::ServerResult result);
     void offerRoom(const ServiceState &service, int group, core::TimePoint now);
     void learn(ServiceState &service, const std::string &serverId,
                const ports::ServerResult &result, core::TimePoint now);
--- a/packages/policy/routing/server_table.h
+++ b/packages/policy/routing/server_table.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/clock.h"
-#include "core/name_table.h"
 #include "core/snapshot_id.h"
 #include "policy/routing/fleet.h"
 
@@ -32,16 +31,6 @@
     Silent,
 };
 
-inline constexpr core::NameTable<AttemptEnd, 7> attemptEndNames{{
-    {AttemptEnd::Answered, "answered"},
-    {AttemptEnd::Shed, "shed"},
-    {AttemptEnd::Draining, "draining"},
-    {AttemptEnd::NotReached, "not reached"},
-    {AttemptEnd::Broken, "broken"},
-    {AttemptEnd::Cancelled, "cancelled"},
-    {AttemptEnd::Silent, "silent"},
-}};
-
 // Word that a server is leaving, as one host passes it to the others.
 struct LeavingNote
 {
