--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -60,3 +60,18 @@
   # Hands over a sealed ledger.
   adopt @5 (host :Text, incarnation :UInt64, secret :Text, entries :List(LedgerEntry), latest :Int64) -> (adopted :Bool);
 }
+
+# One message of the membership protocol where it travels over UDP.
+struct Datagram {
+  # Names the question in its answer.
+  id @0 :UInt64;
+  union {
+    exchange @1 :Gossip;
+    exchanged @2 :Gossip;
+    probe :group {
+      name @3 :Text;
+      address @4 :Text;
+    }
+    probed @5 :Bool;
+  }
+}
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -18,6 +18,10 @@
         using Section::Section;
         TextNode name{this, "name", "", Presence::Required, TextForm::Name};
         TextNode zone{this, "zone", "", Presence::Required, TextForm::Name};
+        TextNode region{this, "region", "", Presence::Optional};
+        // What callers are offered: "plans", the product's own interface, or "routes", requests
+        // that are forwarded as the platform's routes say.
+        TextNode serves{this, "serves", "plans", Presence::Optional};
     } host{this, "host"};
 
     struct Listen : Section
@@ -26,6 +30,9 @@
         TextNode callers{this, "callers", "", Presence::Required, TextForm::Address};
         TextNode control{this, "control", "", Presence::Required, TextForm::Address};
         TextNode peers{this, "peers", "", Presence::Required, TextForm::Address};
+        // For routes: where callers ask for addresses, and where the platform asks for readiness.
+        TextNode directory{this, "directory", "", Presence::Optional};
+        TextNode readiness{this, "readiness", "", Presence::Optional};
     } listen{this, "listen"};
 
     struct Platform : Section
@@ -47,6 +54,8 @@
         IntegerNode confirmationMs{this, "confirmation_ms", 4000, 500, 60000};
         // Upper bound of hosts at any time; divides each server's connections.
         IntegerNode hostsAtMost{this, "hosts_at_most", 12, 1, 10000};
+        // For routes: control addresses of other hosts, whose peers listen on the same port as ours.
+        TextListNode seedControls{this, "seed_controls", TextForm::Address};
     } peers{this, "peers"};
 
     struct Callers : Section
@@ -75,6 +84,22 @@
         IntegerNode idleConnectionMs{this, "idle_connection_ms", 20000, 100, 600000};
     } queries{this, "queries"};
 
+    // Forwarding of routes.
+    struct Forward : Section
+    {
+        using Section::Section;
+        // Time that messages take between a host and its callers, both ways together.
+        IntegerNode callerTransitMs{this, "caller_transit_ms", 10, 0, 10000};
+        // Extra attempts that all hosts together may make at one service: for each first attempt,
+        // and beyond that in one window of the platform.
+        NumberNode extraShare{this, "extra_share", 0.2, 0, 1};
+        NumberNode extraSlack{this, "extra_slack", 50, 0, 100000};
+        // Time for which callers keep the addresses that they are told.
+        IntegerNode keepMs{this, "keep_ms", 1000, 100, 600000};
+        // Time between a request to stop and the end that the platform forces.
+        NumberNode graceS{this, "grace_s", 6, 0.5, 600};
+    } forward{this, "forward"};
+
     struct Log : Section
     {
         using Section::Section;
--- a/packages/core/result_code.cpp
+++ b/packages/core/result_code.cpp
@@ -45,6 +45,8 @@
          "No backend server took the request."},
         {DeadlineTooShort, "deadline-too-short", refused, 400, "The deadline is out of range."},
         {NoSnapshot, "no-snapshot", refused, 503, "No snapshot of the index is known."},
+        {NoRoute, "no-route", refused, 404, "No route leads to this host and path."},
+        {HeadTooLarge, "head-too-large", refused, 431, "The head exceeds the set limit."},
         {KeyReusedWithOtherBody, "key-reused", refused, 422, "The key was used with another body."},
         {KeyNotYours, "key-not-yours", refused, 403, "The key was issued to another customer."},
         {KeyMalformed, "key-malformed", refused, 400, "The idempotency key is malformed."},
@@ -60,6 +62,8 @@
         {RecordedElsewhere, "recorded-elsewhere", unknown, 502,
          "Another host began this request and is gone."},
         {NothingInTime, "nothing-in-time", unknown, 504, "No backend server answered in time."},
+        {ServersFailed, "servers-failed", unknown, 502,
+         "The backend servers that were tried failed."},
         {SettingsUnreadable, "settings-unreadable", refused, 400,
          "The settings file cannot be read."},
         {SettingsSyntax, "settings-syntax", refused, 400, "The settings file is not valid TOML."},
@@ -85,6 +89,8 @@
         {PlatformUnreachable, "platform-unreachable", refused, 503,
          "The platform does not answer."},
         {HostUnreachable, "host-unreachable", refused, 503, "The host does not answer."},
+        {PlatformObject, "platform-object", refused, 400,
+         "An object of the platform is malformed."},
     };
     return table;
 }
--- a/packages/core/result_code.h
+++ b/packages/core/result_code.h
@@ -29,6 +29,8 @@
     NoConfiguration = 2024,
     NoServerAvailable = 2025,
     DeadlineTooShort = 2026,
+    NoRoute = 2028,
+    HeadTooLarge = 2029,
     NoSnapshot = 2027,
     KeyReusedWithOtherBody = 2030,
     KeyNotYours = 2031,
@@ -42,6 +44,7 @@
     IssuerTimeout = 3003,
     RecordedElsewhere = 3004,
     NothingInTime = 3010,
+    ServersFailed = 3011,
 
     SettingsUnreadable = 4000,
     SettingsSyntax = 4001,
@@ -60,6 +63,7 @@
     ListsNotConfirmed = 5011,
     PlatformUnreachable = 5020,
     HostUnreachable = 5021,
+    PlatformObject = 5030,
 };
 
 // One row of the table of codes.
--- /dev/null
+++ b/packages/daemon/forward/forward_host.cpp
@@ -0,0 +1,501 @@
+#include "daemon/forward/forward_host.h"
+
+#include "adapters/logging/log.h"
+#include "adapters/loop/datagram_link.h"
+#include "adapters/loop/exchange_client.h"
+#include "adapters/loop/front_server.h"
+#include "core/result_code.h"
+#include "daemon/forward/forward_service.h"
+#include "daemon/forward/membership.h"
+#include "daemon/forward/server_list.h"
+#include "daemon/forward/store_sync.h"
+#include "platform/dialect.h"
+#include "platform/names.h"
+#include "platform/records.h"
+#include "policy/entrypoints/entry_points.h"
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <random>
+
+namespace goldcrestline::daemon::forward {
+
+namespace asio = boost::asio;
+using adapters::loop::ExchangeClient;
+using adapters::loop::FrontCall;
+using adapters::loop::FrontServer;
+using core::ResultCode;
+using core::TimePoint;
+
+namespace {
+
+constexpr adapters::logging::LogChannel log("host:");
+
+// Period of checks on time-outs and on the store.
+constexpr core::Millis housekeeping{100};
+// Idle time after which the kernel probes a connection to the store.
+constexpr int storeProbeSeconds = 1;
+// Callers may keep addresses for three times as long as they are told.
+constexpr int keptAtMost = 3;
+// Time before the forced end by which a stopping host is gone.
+constexpr core::Millis exitMargin{700};
+// Time for which a newer version that a peer told of may take to arrive by the own watch.
+constexpr core::Millis newsPatience{400};
+// Hosts that a caller is told of.
+constexpr std::size_t addressesAtMost = 8;
+// Part of the fleet's budget of extra attempts that is used; the rest covers hosts that restart
+// with a full one.
+constexpr double budgetShare = 0.9;
+
+ports::Outgoing unreadable(int status, const std::string &why)
+{
+    auto code = ResultCode::MalformedRequest;
+    for (const auto it :
+         {ResultCode::BodyTooLarge, ResultCode::RequestTimeout, ResultCode::HeadTooLarge}) {
+        if (core::infoOf(it).httpStatus == status)
+            code = it;
+    }
+    return platform::ownAnswer(status, static_cast<int>(code),
+                               std::string(core::infoOf(code).text) + " " + why);
+}
+
+class Host
+{
+public:
+    Host(std::shared_ptr<const adapters::settings::Settings> settings, std::string path)
+        : m_settings(std::move(settings)), m_path(std::move(path)), m_signals(m_io), m_timer(m_io),
+          m_backendClient(m_io, {}), m_storeClient(m_io, storeOptions()),
+          m_backends(m_settings->host.zone.value, {},
+                     [this](const std::string &service) { return connectionShare(service); },
+                     [this] { return uniform(); }),
+          m_servers(m_backends), m_forward(forwardLimits(), m_backends, m_backendClient,
+                                           [this] { return uniform(); }),
+          m_config(platform::names::configKind, m_storeClient, mirror(), configHooks()),
+          m_serverSync(platform::names::serversKind, m_storeClient, mirror(), serverHooks()),
+          m_link(m_io, m_settings->listen.peers.value,
+                 [this](ports::PeerCall call) {
+                     m_membership.handle(std::move(call), core::Clock::now());
+                 }),
+          m_membership(memberTable(), m_settings->peers.periodMs.millis(), m_link,
+                       membershipHooks()),
+          m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
+          m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
+          m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
+          m_control(m_io, m_settings->listen.control.value, {}, plainHooks())
+    { }
+
+    void run()
+    {
+        log.info("start name=" + m_settings->host.name.value
+                 + " zone=" + m_settings->host.zone.value
+                 + " callers=" + m_settings->listen.callers.value);
+        m_signals.add(SIGTERM);
+        m_signals.add(SIGINT);
+        m_signals.add(SIGHUP);
+        awaitSignal();
+        registerSelf(core::Clock::now());
+        onTimer();
+        m_io.run();
+        log.info("stopped");
+    }
+
+private:
+    static adapters::loop::ExchangeOptions storeOptions()
+    {
+        adapters::loop::ExchangeOptions options;
+        options.probeAfterSeconds = storeProbeSeconds;
+        return options;
+    }
+
+    policy::mirror::Mirror mirror()
+    {
+        return {{}, [this] { return 0.5 + uniform() / 2; }};
+    }
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    unsigned below(unsigned n) { return std::uniform_int_distribution<unsigned>(0, n - 1)(m_random); }
+
+    ForwardLimits forwardLimits() const
+    {
+        const auto &forward = m_settings->forward;
+        ForwardLimits limits;
+        limits.callerTransit = forward.callerTransitMs.millis();
+        limits.extraShare = budgetShare * forward.extraShare.value;
+        limits.extraBurst = std::max(1.0,
+                                     budgetShare * forward.extraSlack.value
+                                         / static_cast<double>(m_settings->peers.hostsAtMost.value));
+        return limits;
+    }
+
+    int connectionShare(const std::string &service) const
+    {
+        const auto &routes = m_forward.routes();
+        if (!routes)
+            return 1;
+        const auto it = routes->services().find(service);
+        const int all = it == routes->services().end() ? 1 : it->second.connections;
+        return std::max(1, all / static_cast<int>(m_settings->peers.hostsAtMost.value));
+    }
+
+    policy::membership::MemberTable memberTable()
+    {
+        policy::membership::Member self;
+        self.name = m_settings->host.name.value;
+        self.zone = m_settings->host.zone.value;
+        self.callersAddress = m_settings->listen.callers.value;
+        self.controlAddress = m_settings->listen.control.value;
+        self.peersAddress = m_settings->listen.peers.value;
+        self.incarnation = static_cast<std::uint64_t>(core::wallNow());
+        policy::membership::MembershipTimes times;
+        times.period = m_settings->peers.periodMs.millis();
+        times.suspicion = m_settings->peers.suspicionMs.millis();
+        return {std::move(self), seeds(), times, [this](unsigned n) { return below(n); }};
+    }
+
+    // Hosts of a deployment listen for peers on the same port.
+    std::vector<std::string> seeds() const
+    {
+        auto out = m_settings->peers.seeds.value;
+        const auto &own = m_settings->listen.peers.value;
+        const auto port = own.substr(own.rfind(':'));
+        for (const auto &it : m_settings->peers.seedControls.value)
+            out.push_back(it.substr(0, it.rfind(':')) + port);
+        return out;
+    }
+
+    StoreSync::Hooks configHooks()
+    {
+        return {[this](const platform::StoreObject &object, TimePoint now) {
+                    if (object.name == platform::names::configName)
+                        takeConfig(object, now);
+                },
+                [](const std::string &name, TimePoint) {
+                    log.warning("configuration removed name=" + name + "; the last one stays");
+                },
+                [this] { return m_settings->platform.address.value; }};
+    }
+
+    StoreSync::Hooks serverHooks()
+    {
+        return {[this](const platform::StoreObject &object, TimePoint) {
+                    m_servers.onObject(object.name, object.spec);
+                },
+                [this](const std::string &name, TimePoint) { m_servers.onRemoved(name); },
+                [this] { return m_settings->platform.address.value; }};
+    }
+
+    void takeConfig(const platform::StoreObject &object, TimePoint)
+    {
+        auto table = platform::decodeConfig(object.spec);
+        if (!table.has_value()) {
+            log.error("configuration refused: " + table.error().text());
+            return;
+        }
+        const auto &held = m_forward.routes();
+        // A host never goes back to an older version.
+        if (held && table.value()->version() <= held->version())
+            return;
+        const auto &bounds = table.value()->bounds();
+        m_callers.setLimits(
+            {bounds.headerBytes, bounds.bodyBytes, bounds.headerTime, bounds.idleTime});
+        log.info("configuration in force version=" + std::to_string(table.value()->version())
+                 + " routes=" + std::to_string(table.value()->routes().size()));
+        m_forward.setRoutes(std::move(table.value()));
+    }
+
+    Membership::Hooks membershipHooks()
+    {
+        return {[this](ports::Gossip &gossip, TimePoint) {
+                    gossip.listsRevision = version();
+                    gossip.fleetRevision = m_serverSync.mirror().revision();
+                },
+                [this](const ports::Gossip &news, const policy::membership::Member &,
+                       TimePoint now) { takeNews(news, now); }};
+    }
+
+    std::uint64_t version() const
+    {
+        return m_forward.routes() ? m_forward.routes()->version() : 0;
+    }
+
+    // A watch whose connection went silent shows in peers that know more for some time.
+    void takeNews(const ports::Gossip &news, TimePoint now)
+    {
+        if (news.listsRevision > version() && m_behindSince == TimePoint{})
+            m_behindSince = now;
+        m_highestVersion = std::max(m_highestVersion, news.listsRevision);
+    }
+
+    void checkBehind(TimePoint now)
+    {
+        if (version() >= m_highestVersion) {
+            m_behindSince = {};
+            return;
+        }
+        if (m_behindSince == TimePoint{} || now - m_behindSince < newsPatience)
+            return;
+        m_behindSince = now;
+        log.info("peers know a newer configuration version="
+                 + std::to_string(m_highestVersion));
+        if (!m_config.mirror().failing())
+            m_config.onBehind(now);
+    }
+
+    adapters::loop::FrontHooks callerHooks()
+    {
+        return {[this](FrontCall call, TimePoint now) {
+                    m_forward.handle(std::move(call), now);
+                    arm(now);
+                },
+                [this](std::uint64_t id, TimePoint now) { m_forward.onGone(id, now); },
+                unreadable};
+    }
+
+    adapters::loop::FrontHooks plainHooks()
+    {
+        return {[this](const FrontCall &call, TimePoint) { call.respond(answer(call.request)); },
+                [](std::uint64_t, TimePoint) { }, unreadable};
+    }
+
+    ports::Outgoing answer(const ports::Incoming &request)
+    {
+        if (platform::isReadiness(request))
+            return platform::readinessAnswer(ready());
+        if (const auto question = platform::readResolve(request))
+            return resolve(*question);
+        const auto &info = core::infoOf(ResultCode::UnknownPath);
+        return platform::ownAnswer(info.httpStatus, static_cast<int>(info.code),
+                                   std::string(info.text));
+    }
+
+    bool ready() const { return !m_stopping && m_forward.routes() != nullptr; }
+
+    ports::Outgoing resolve(const platform::ResolveQuestion &question)
+    {
+        const auto chosen =
+            policy::entrypoints::choose(m_membership.table().all(), question.zone,
+                                        addressesAtMost, [this](unsigned n) { return below(n); });
+        std::vector<std::string> addresses;
+        for (const auto &it : chosen) {
+            // Callers choose at random, so other zones are told of only when the own has none.
+            if (it.zone == chosen.front().zone)
+                addresses.push_back(it.callersAddress);
+        }
+        if (addresses.empty()) {
+            const auto &info = core::infoOf(ResultCode::HostStopping);
+            return platform::ownAnswer(info.httpStatus, static_cast<int>(info.code),
+                                       std::string(info.text));
+        }
+        return platform::resolveAnswer(addresses, m_settings->forward.keepMs.millis());
+    }
+
+    void registerSelf(TimePoint now)
+    {
+        const auto &self = m_membership.table().self();
+        m_storeClient.send(m_settings->platform.address.value,
+                           platform::createRequest(platform::names::hostsKind, self.name,
+                                                   platform::encodeHost(self)),
+                           now, [this](const ports::ExchangeResult &result) {
+                               onRegistered(platform::readReply(result));
+                           });
+    }
+
+    void onRegistered(const platform::StoreReply &reply)
+    {
+        const auto now = core::Clock::now();
+        const auto &self = m_membership.table().self();
+        if (reply.end == platform::StoreEnd::Conflict) {
+            m_storeClient.send(m_settings->platform.address.value,
+                               platform::replaceRequest(platform::names::hostsKind, self.name,
+                                                        platform::encodeHost(self)),
+                               now, [this](const ports::ExchangeResult &result) {
+                                   onRegistered(platform::readReply(result));
+                               });
+            return;
+        }
+        if (reply.end != platform::StoreEnd::Done) {
+            log.warning("not registered why=" + reply.detail);
+            m_registerAt = now + registerPause;
+            return;
+        }
+        findHosts("", now);
+    }
+
+    void findHosts(const std::string &after, TimePoint now)
+    {
+        m_storeClient.send(m_settings->platform.address.value,
+                           platform::listRequest(platform::names::hostsKind, after), now,
+                           [this](const ports::ExchangeResult &result) {
+                               onHosts(platform::readReply(result));
+                           });
+    }
+
+    void onHosts(const platform::StoreReply &reply)
+    {
+        const auto now = core::Clock::now();
+        if (reply.end != platform::StoreEnd::Done) {
+            log.warning("hosts not listed why=" + reply.detail);
+            m_registerAt = now + registerPause;
+            return;
+        }
+        std::vector<std::string> addresses;
+        for (const auto &it : reply.items) {
+            const auto host = platform::decodeHost(it.name, it.spec);
+            if (!host.has_value()) {
+                log.warning("host refused: " + host.error().text());
+                continue;
+            }
+            addresses.push_back(host.value().peersAddress);
+        }
+        m_membership.table().addSeeds(addresses);
+        if (reply.more && !reply.items.empty())
+            findHosts(reply.items.back().name, now);
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec)
+                return;
+            if (signal == SIGHUP) {
+                reload();
+            } else {
+                stop(core::Clock::now());
+            }
+            awaitSignal();
+        });
+    }
+
+    void reload()
+    {
+        auto settings = adapters::settings::loadSettings(m_path);
+        if (!settings.has_value()) {
+            log.error("settings refused, the old ones stay: " + settings.error().text());
+            return;
+        }
+        m_settings = std::move(settings.value());
+        m_membership.table().addSeeds(seeds());
+        log.info("settings reloaded");
+    }
+
+    void stop(TimePoint now)
+    {
+        if (m_stopping)
+            return;
+        m_stopping = true;
+        log.info("stopping running=" + std::to_string(m_forward.running()));
+        m_membership.leave(now);
+        m_callers.finishConnections();
+        m_drainedAt = now + keptAtMost * m_settings->forward.keepMs.millis();
+        const std::chrono::duration<double> grace(m_settings->forward.graceS.value);
+        m_exitAt = now + std::chrono::duration_cast<core::Duration>(grace) - exitMargin;
+    }
+
+    void checkStopped(TimePoint now)
+    {
+        if (!m_stopping || now < m_drainedAt)
+            return;
+        if (!m_closedIdle) {
+            m_closedIdle = true;
+            m_callers.closeIdle();
+        }
+        if (m_callers.busy() == 0 || now >= m_exitAt) {
+            if (m_callers.busy() != 0)
+                log.warning("cut off running=" + std::to_string(m_forward.running()));
+            m_io.stop();
+        }
+    }
+
+    void onTimer()
+    {
+        const auto now = core::Clock::now();
+        m_armedAt = TimePoint::max();
+        m_forward.tick(now);
+        m_link.tick(now);
+        if (now >= m_housekeepingAt) {
+            m_housekeepingAt = now + housekeeping;
+            keepHouse(now);
+        }
+        arm(now);
+    }
+
+    void keepHouse(TimePoint now)
+    {
+        m_backendClient.tick(now);
+        m_storeClient.tick(now);
+        m_config.tick(now);
+        m_serverSync.tick(now);
+        for (auto *it : {&m_callers, &m_directory, &m_readiness, &m_control})
+            it->tick(now);
+        if (now >= m_memberTickAt) {
+            m_memberTickAt = now + m_settings->peers.periodMs.millis();
+            m_membership.tick(now);
+        }
+        if (m_registerAt != TimePoint{} && now >= m_registerAt) {
+            m_registerAt = {};
+            registerSelf(now);
+        }
+        checkBehind(now);
+        checkStopped(now);
+    }
+
+    // Sets the timer to the next work if that comes before the time that is set.
+    void arm(TimePoint now)
+    {
+        auto next = std::min(m_housekeepingAt, m_forward.nextAt());
+        next = std::max(next, now);
+        if (next >= m_armedAt)
+            return;
+        m_armedAt = next;
+        m_timer.expires_at(next);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                onTimer();
+        });
+    }
+
+    static constexpr core::Millis registerPause{2000};
+
+    std::shared_ptr<const adapters::settings::Settings> m_settings;
+    std::string m_path;
+    std::mt19937 m_random{std::random_device{}()};
+    asio::io_context m_io{1};
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    ExchangeClient m_backendClient;
+    ExchangeClient m_storeClient;
+    policy::forward::BackendTable m_backends;
+    ServerList m_servers;
+    ForwardService m_forward;
+    StoreSync m_config;
+    StoreSync m_serverSync;
+    adapters::loop::DatagramLink m_link;
+    Membership m_membership;
+    FrontServer m_callers;
+    FrontServer m_directory;
+    FrontServer m_readiness;
+    FrontServer m_control;
+    TimePoint m_armedAt = TimePoint::max();
+    TimePoint m_housekeepingAt{};
+    TimePoint m_memberTickAt{};
+    TimePoint m_registerAt{};
+    std::uint64_t m_highestVersion = 0;
+    TimePoint m_behindSince{};
+    bool m_stopping = false;
+    bool m_closedIdle = false;
+    TimePoint m_drainedAt{};
+    TimePoint m_exitAt{};
+};
+
+} // namespace
+
+void runHost(std::shared_ptr<const adapters::settings::Settings> settings, const std::string &path)
+{
+    Host host(std::move(settings), path);
+    host.run();
+}
+
+} // namespace goldcrestline::daemon::forward
--- /dev/null
+++ b/packages/daemon/forward/forward_service.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "adapters/loop/exchange_client.h"
+#include "adapters/loop/front_server.h"
+#include "core/clock.h"
+#include "platform/dialect.h"
+#include "policy/forward/backend_table.h"
+#include "policy/forward/call.h"
+#include "policy/forward/route.h"
+#include "policy/forward/split.h"
+#include "policy/retry/budget.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace goldcrestline::daemon::forward {
+
+// Settings of forwarding.
+struct ForwardLimits
+{
+    // Time that a message takes between this host and its caller, both ways together.
+    core::Millis callerTransit{10};
+    // Extra attempts for each first one, and in a burst, at one service by this host.
+    double extraShare = 0.18;
+    double extraBurst = 4;
+    // Share of the objective for which a request may wait for a first server.
+    double refuseShare = 0.2;
+};
+
+// Counters since the start.
+struct ForwardCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t left = 0;
+    std::uint64_t thin = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t extraAttempts = 0;
+};
+
+// Forwards callers' requests to servers as their routes say. Not thread-safe: lives on the loop.
+class ForwardService
+{
+public:
+    // `random` returns a uniform number in [0, 1).
+    ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
+                   adapters::loop::ExchangeClient &client, std::function<double()> random);
+
+    // Takes routes; calls under way keep theirs.
+    void setRoutes(policy::forward::RouteTablePtr table);
+    const policy::forward::RouteTablePtr &routes() const { return m_table; }
+
+    void handle(adapters::loop::FrontCall call, core::TimePoint now);
+    void onGone(std::uint64_t call, core::TimePoint now);
+
+    // Runs what is due.
+    void tick(core::TimePoint now);
+
+    // Returns when tick() has work next.
+    core::TimePoint nextAt() const;
+
+    std::size_t running() const { return m_calls.size(); }
+    const ForwardCounters &counters() const { return m_counters; }
+
+private:
+    struct Part
+    {
+        std::string proof;
+        std::string body;
+    };
+    struct Running
+    {
+        Running(policy::forward::Call call, std::function<void(ports::Outgoing)> respond)
+            : call(std::move(call)), respond(std::move(respond))
+        { }
+
+        policy::forward::Call call;
+        std::function<void(ports::Outgoing)> respond;
+        // Names the call at the front server.
+        std::uint64_t frontCall = 0;
+        std::string requestId;
+        std::shared_ptr<const std::string> head;
+        std::shared_ptr<const std::string> body;
+        bool bodyless = false;
+        std::vector<Part> parts;
+        // The response that a plain route passes on.
+        ports::ExchangeResult response;
+        core::TimePoint wakeAt = core::TimePoint::max();
+        bool waits = false;
+    };
+    struct Attempt
+    {
+        std::uint64_t call = 0;
+        policy::forward::BackendPtr backend;
+        ports::ExchangeId exchange = 0;
+        core::TimePoint sentAt{};
+        // When the attempt is given up; max while its call runs.
+        core::TimePoint closeAt = core::TimePoint::max();
+        // The caller left, so that silence says nothing of the server.
+        bool withdrawn = false;
+    };
+    // A part that waits for a server with room.
+    struct Waiting
+    {
+        policy::forward::CallRank rank;
+        std::uint64_t call = 0;
+        std::size_t part = 0;
+
+        auto operator<=>(const Waiting &) const = default;
+    };
+
+    void begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
+               const policy::forward::Route &route, core::TimePoint now);
+    void apply(std::uint64_t id, policy::forward::CallActions &actions, core::TimePoint now);
+    void send(std::uint64_t id, Running &running, const policy::forward::Send &send,
+              core::TimePoint now);
+    void finish(std::uint64_t id, Running &running, const policy::forward::Finish &finish,
+                core::TimePoint now);
+    ports::Outgoing answerOf(Running &running, const policy::forward::Finish &finish);
+    void count(const Running &running, const policy::forward::Finish &finish);
+    void logEnd(const Running &running, const policy::forward::Finish &finish,
+                core::TimePoint now) const;
+    void onExchange(policy::forward::AttemptId id, ports::ExchangeResult result,
+                    core::TimePoint now);
+    void onResponse(policy::forward::AttemptId id, Attempt attempt, ports::ExchangeResult result,
+                    core::TimePoint now);
+    static policy::forward::BackendEnd endOf(const platform::ServerReply &reply);
+    static void keepResponse(Running &running, policy::forward::AttemptId id,
+                             const platform::ServerReply &reply, ports::ExchangeResult result);
+    void detach(std::uint64_t id, core::TimePoint closeAt, bool withdrawn);
+    void closeLate(core::TimePoint now);
+    void offerRoom(const std::string &service, core::TimePoint now);
+    void schedule(std::uint64_t id, Running &running, core::TimePoint now);
+    void trackWaiting(std::uint64_t id, Running &running);
+    void forgetWaiting(std::uint64_t id, Running &running);
+    policy::retry::Budget &budget(const std::string &service);
+    core::Millis retryAfter();
+
+    ForwardLimits m_limits;
+    policy::forward::BackendTable &m_backends;
+    adapters::loop::ExchangeClient &m_client;
+    std::function<double()> m_random;
+    policy::forward::RouteTablePtr m_table;
+    policy::forward::SplitChooser m_split;
+    policy::forward::CallHooks m_hooks;
+    std::unordered_map<std::string, policy::retry::Budget> m_budgets;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Running>> m_calls;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_byFrontCall;
+    std::unordered_map<policy::forward::AttemptId, Attempt> m_attempts;
+    // Attempts whose call ended, by the time at which they are given up.
+    std::set<std::pair<core::TimePoint, policy::forward::AttemptId>> m_late;
+    std::set<std::pair<core::TimePoint, std::uint64_t>> m_wakes;
+    std::unordered_map<std::string, std::set<Waiting>> m_waiting;
+    policy::forward::AttemptId m_lastAttempt = 0;
+    std::uint64_t m_lastCall = 0;
+    ForwardCounters m_counters;
+};
+
+} // namespace goldcrestline::daemon::forward
--- /dev/null
+++ b/packages/daemon/forward/membership.cpp
@@ -0,0 +1,116 @@
+#include "daemon/forward/membership.h"
+
+#include "adapters/logging/log.h"
+
+namespace goldcrestline::daemon::forward {
+
+using core::TimePoint;
+using ports::PeerEnd;
+
+namespace {
+
+constexpr adapters::logging::LogChannel log("members:");
+
+} // namespace
+
+Membership::Membership(policy::membership::MemberTable table, core::Millis period,
+                       ports::PeerLink &link, Hooks hooks)
+    : m_table(std::move(table)), m_period(period), m_link(link), m_hooks(std::move(hooks))
+{ }
+
+void Membership::tick(TimePoint now)
+{
+    apply(m_table.tick(now), now);
+}
+
+void Membership::leave(TimePoint now)
+{
+    m_table.setLeaving();
+    for (const auto &it : m_table.live()) {
+        if (it.name != m_table.self().name)
+            exchange("", it.peersAddress, false, now);
+    }
+}
+
+void Membership::apply(const std::vector<policy::membership::Action> &actions, TimePoint now)
+{
+    for (const auto &action : actions) {
+        if (const auto *probe = std::get_if<policy::membership::Probe>(&action)) {
+            exchange(probe->name, probe->address, false, now);
+        } else if (const auto *contact = std::get_if<policy::membership::Contact>(&action)) {
+            exchange("", contact->address, true, now);
+        } else {
+            probeFor(std::get<policy::membership::IndirectProbe>(action));
+        }
+    }
+}
+
+ports::Gossip Membership::gossip(bool wholeTable, TimePoint now)
+{
+    ports::Gossip out;
+    out.from = m_table.self().name;
+    out.members = m_table.updates(wholeTable);
+    out.wholeTable = wholeTable;
+    m_hooks.describe(out, now);
+    return out;
+}
+
+void Membership::exchange(const std::string &name, const std::string &address, bool wholeTable,
+                          TimePoint now)
+{
+    m_link.call(address, gossip(wholeTable, now), m_period,
+                [this, name](const ports::PeerResult &result) {
+                    const auto at = core::Clock::now();
+                    if (result.end != PeerEnd::Answered) {
+                        if (!name.empty())
+                            apply(m_table.onDirectProbeFailed(name, at), at);
+                        return;
+                    }
+                    const auto &news = std::get<ports::Gossip>(result.answer);
+                    if (news.from == m_table.self().name)
+                        return;
+                    takeNews(news, at);
+                    if (!name.empty())
+                        m_table.onProbeEnd(name, true, at);
+                });
+}
+
+void Membership::takeNews(const ports::Gossip &news, TimePoint now)
+{
+    const int changed = m_table.onUpdates(news.members, now);
+    if (changed > 0) {
+        log.info("changed count=" + std::to_string(changed) + " from=" + news.from
+                 + " live=" + std::to_string(m_table.live().size()));
+    }
+    if (const auto *sender = m_table.find(news.from))
+        m_hooks.onNews(news, *sender, now);
+}
+
+void Membership::probeFor(const policy::membership::IndirectProbe &probe)
+{
+    m_link.call(probe.via, ports::ProbeRequest{probe.name, probe.address}, 2 * m_period,
+                [this, name = probe.name](const ports::PeerResult &result) {
+                    const bool reached = result.end == PeerEnd::Answered
+                        && std::get<ports::ProbeAnswer>(result.answer).reached;
+                    m_table.onProbeEnd(name, reached, core::Clock::now());
+                });
+}
+
+void Membership::handle(ports::PeerCall call, TimePoint now)
+{
+    if (const auto *news = std::get_if<ports::Gossip>(&call.request)) {
+        takeNews(*news, now);
+        return call.reply(gossip(news->wholeTable, now));
+    }
+    const auto *probe = std::get_if<ports::ProbeRequest>(&call.request);
+    if (probe == nullptr)
+        return;
+    m_link.call(probe->address, gossip(false, now), m_period,
+                [reply = call.reply, name = probe->name](const ports::PeerResult &result) {
+                    const bool reached = result.end == PeerEnd::Answered
+                        && std::get<ports::Gossip>(result.answer).from == name;
+                    reply(ports::ProbeAnswer{reached});
+                });
+}
+
+} // namespace goldcrestline::daemon::forward
--- /dev/null
+++ b/packages/daemon/forward/membership.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/clock.h"
+#include "policy/membership/member_table.h"
+#include "ports/peer_link.h"
+
+#include <functional>
+#include <string>
+
+namespace goldcrestline::daemon::forward {
+
+// Keeps the table of hosts by exchanging gossip with them. Not thread-safe: lives on the loop.
+class Membership
+{
+public:
+    struct Hooks
+    {
+        // Fills in what this host tells of its own copies of configuration and servers.
+        std::function<void(ports::Gossip &, core::TimePoint now)> describe;
+        // Takes what a host tells of its copies.
+        std::function<void(const ports::Gossip &, const policy::membership::Member &from,
+                           core::TimePoint now)>
+            onNews;
+    };
+
+    Membership(policy::membership::MemberTable table, core::Millis period, ports::PeerLink &link,
+               Hooks hooks);
+
+    // Runs one period of the protocol.
+    void tick(core::TimePoint now);
+
+    // Answers another host.
+    void handle(ports::PeerCall call, core::TimePoint now);
+
+    // Tells all hosts at once that this one is stopping.
+    void leave(core::TimePoint now);
+
+    policy::membership::MemberTable &table() { return m_table; }
+
+private:
+    ports::Gossip gossip(bool wholeTable, core::TimePoint now);
+    void exchange(const std::string &name, const std::string &address, bool wholeTable,
+                  core::TimePoint now);
+    void apply(const std::vector<policy::membership::Action> &actions, core::TimePoint now);
+    void probeFor(const policy::membership::IndirectProbe &probe);
+    void takeNews(const ports::Gossip &news, core::TimePoint now);
+
+    policy::membership::MemberTable m_table;
+    core::Millis m_period;
+    ports::PeerLink &m_link;
+    Hooks m_hooks;
+};
+
+} // namespace goldcrestline::daemon::forward
--- /dev/null
+++ b/packages/daemon/forward/store_sync.cpp
@@ -0,0 +1,110 @@
+#include "daemon/forward/store_sync.h"
+
+#include "adapters/logging/log.h"
+
+namespace goldcrestline::daemon::forward {
+
+using core::TimePoint;
+
+namespace {
+
+constexpr adapters::logging::LogChannel log("store:");
+
+// Longest wait of a watch: each watch is paid for, and kernel probes notice a dead connection.
+constexpr core::Millis watchTime{25000};
+// Time for an answer beyond a watch's wait.
+constexpr core::Millis answerTime{2000};
+
+} // namespace
+
+StoreSync::StoreSync(std::string kind, adapters::loop::ExchangeClient &client,
+                     policy::mirror::Mirror mirror, Hooks hooks)
+    : m_kind(std::move(kind)), m_client(client), m_mirror(std::move(mirror)),
+      m_hooks(std::move(hooks))
+{ }
+
+void StoreSync::tick(TimePoint now)
+{
+    if (m_exchange != 0 && now >= m_giveUpAt) {
+        m_client.abort(m_exchange);
+        platform::StoreReply silent;
+        silent.detail = "no answer in time";
+        onReply(false, std::move(silent), now);
+    }
+    for (const auto &it : m_mirror.takeRemovals(now))
+        m_hooks.onRemoved(it, now);
+    if (const auto step = m_mirror.next(now))
+        begin(*step, now);
+}
+
+void StoreSync::begin(const policy::mirror::Step &step, TimePoint now)
+{
+    ports::ExchangeRequest request;
+    const auto *watch = std::get_if<policy::mirror::WatchStep>(&step);
+    m_giveUpAt = now + answerTime;
+    if (watch != nullptr) {
+        request = platform::watchRequest(m_kind, watch->revision, watchTime);
+        m_giveUpAt += watchTime;
+    } else {
+        request = platform::listRequest(m_kind, std::get<policy::mirror::ListStep>(step).after);
+    }
+    ++m_calls;
+    m_exchange = m_client.send(m_hooks.address(), std::move(request), now,
+                               [this, watching = watch != nullptr](ports::ExchangeResult result) {
+                                   onReply(watching, platform::readReply(result),
+                                           core::Clock::now());
+                               });
+}
+
+void StoreSync::onReply(bool watching, platform::StoreReply reply, TimePoint now)
+{
+    m_exchange = 0;
+    const bool wasFailing = m_mirror.failing();
+    switch (reply.end) {
+    case platform::StoreEnd::Done:
+        break;
+    case platform::StoreEnd::HistoryGone:
+        log.info("history gone kind=" + m_kind);
+        m_mirror.onHistoryGone(now);
+        return tick(now);
+    default:
+        if (!wasFailing)
+            logFailure(reply);
+        return m_mirror.onFailure(reply.retryAfter, now);
+    }
+    if (wasFailing)
+        log.info("reached again kind=" + m_kind);
+    if (watching) {
+        for (const auto &it : reply.changes) {
+            m_mirror.onChange(it.object.name, it.deleted, now);
+            if (!it.deleted)
+                m_hooks.onObject(it.object, now);
+        }
+        m_mirror.onWatched(reply.revision, !reply.changes.empty(), now);
+    } else {
+        std::vector<std::string> names;
+        for (const auto &it : reply.items) {
+            names.push_back(it.name);
+            m_hooks.onObject(it, now);
+        }
+        m_mirror.onPage(names, reply.more, reply.revision, now);
+    }
+    tick(now);
+}
+
+void StoreSync::logFailure(const platform::StoreReply &reply)
+{
+    log.warning("lost kind=" + m_kind + " why=" + reply.detail);
+}
+
+void StoreSync::onBehind(TimePoint now)
+{
+    if (m_exchange != 0) {
+        m_client.abort(m_exchange);
+        m_exchange = 0;
+    }
+    m_mirror.onBehind(now);
+    tick(now);
+}
+
+} // namespace goldcrestline::daemon::forward
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -6,6 +6,7 @@
 #include "core/hash.h"
 #include "daemon/control/routes.h"
 #include "daemon/engine/engine.h"
+#include "daemon/forward/forward_host.h"
 
 #include <csignal>
 #include <cxxopts.hpp>
@@ -116,6 +117,10 @@
     adapters::logging::configure(
         *core::valueIn(adapters::logging::levelNames, settings.value()->log.level.value));
     try {
+        if (settings.value()->host.serves.value == "routes") {
+            forward::runHost(settings.value(), arguments.value().config);
+            return 0;
+        }
         return serve(settings.value());
     } catch (const std::exception &e) {
         log.error(std::string("cannot start: ") + e.what());
--- /dev/null
+++ b/packages/policy/forward/backend_table.cpp
@@ -0,0 +1,281 @@
+#include "policy/forward/backend_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestline::policy::forward {
+
+using core::TimePoint;
+
+namespace {
+
+// Weight of one new sample in the moving averages.
+constexpr double sampleWeight = 0.3;
+constexpr double typicalWeight = 0.05;
+constexpr double failureWeight = 0.25;
+// Share of answers that take longer than the latency after which an attempt is hedged.
+constexpr double lateShare = 0.08;
+// Step of the tracked latency for one sample, relative to it.
+constexpr double lateStep = 0.05;
+// An attempt that takes this many times the usual latency marks its server as stalled.
+constexpr double stallFactor = 2.5;
+constexpr double stallFloorMs = 8;
+// Cost of a stalled server, in ms: about the rest of a pause of 100 ms.
+constexpr double stallCostMs = 60;
+// Time in which a reported load loses half its weight.
+constexpr double reportHalfLifeMs = 100;
+// Spread of the random factor that keeps hosts from choosing alike.
+constexpr double costJitter = 0.2;
+// Bounds of the time after which an attempt is hedged, in ms.
+constexpr double shortestHedgeMs = 4;
+constexpr double longestHedgeMs = 2000;
+
+double halving(double elapsedMs, double halfLifeMs)
+{
+    return std::exp2(-elapsedMs / halfLifeMs);
+}
+
+} // namespace
+
+BackendTable::BackendTable(std::string zone, PlacementLimits limits,
+                           std::function<int(const std::string &)> connectionShare,
+                           std::function<double()> random)
+    : m_zone(std::move(zone)), m_limits(limits), m_connectionShare(std::move(connectionShare)),
+      m_random(std::move(random))
+{ }
+
+void BackendTable::put(const BackendRecord &record)
+{
+    const auto it = m_byId.find(record.id);
+    if (it != m_byId.end()) {
+        auto &old = it->second->record;
+        const bool same = old.startedAt == record.startedAt && old.address == record.address
+            && old.service == record.service;
+        if (same) {
+            // A server that said it is leaving stays so until it starts anew.
+            const bool leaving = old.leaving || record.leaving;
+            old = record;
+            old.leaving = leaving;
+            return;
+        }
+        remove(record.id);
+    }
+    auto backend = std::make_shared<Backend>();
+    backend->record = record;
+    m_byId[record.id] = backend;
+    m_services[record.service].backends.push_back(std::move(backend));
+}
+
+void BackendTable::remove(const std::string &id)
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end())
+        return;
+    it->second->listed = false;
+    std::erase(m_services[it->second->record.service].backends, it->second);
+    m_byId.erase(it);
+}
+
+std::vector<std::string> BackendTable::ids() const
+{
+    std::vector<std::string> out;
+    out.reserve(m_byId.size());
+    for (const auto &it : m_byId)
+        out.push_back(it.first);
+    return out;
+}
+
+const BackendTable::Service *BackendTable::find(const std::string &service) const
+{
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+bool BackendTable::usable(const Backend &backend, TimePoint now) const
+{
+    return backend.listed && !backend.record.leaving && backend.ejectedUntil <= now;
+}
+
+bool BackendTable::hasRoom(const Backend &backend, TimePoint now) const
+{
+    if (backend.fullUntil > now)
+        return false;
+    const int share = m_connectionShare(backend.record.service);
+    // More requests than slots at one server would only wait there.
+    const int limit = std::min(share, std::max(backend.record.slots, 2));
+    return static_cast<int>(backend.pending.size()) < std::max(limit, 1);
+}
+
+double BackendTable::cost(const Service &service, const Backend &backend, TimePoint now) const
+{
+    const double typical = service.typicalMs > 0 ? service.typicalMs : m_limits.unknownLatencyMs;
+    double latency = typical;
+    if (backend.latencyMs > 0) {
+        const double weight = halving(core::toMillis(now - backend.sampledAt),
+                                      core::toMillis(m_limits.sampleHalfLife));
+        latency = weight * backend.latencyMs + (1 - weight) * typical;
+    }
+    const int slots = std::max(backend.record.slots, 1);
+    const double excess = backend.reportedExcess
+        * halving(core::toMillis(now - backend.reportedAt), reportHalfLifeMs);
+    const double queued = static_cast<double>(backend.pending.size()) + excess;
+    double total = latency * (1 + queued / slots);
+    if (backend.record.zone != m_zone)
+        total += m_limits.crossZonePenaltyMs;
+    total += backend.failureShare * m_limits.failureCostMs;
+    if (!backend.pending.empty()) {
+        const double age = core::toMillis(now - backend.pending.front());
+        if (age > stallFactor * latency + stallFloorMs)
+            total += stallCostMs + age;
+    }
+    return total * (1 + costJitter * (m_random() - 0.5));
+}
+
+BackendPtr BackendTable::pick(const std::string &service, const std::vector<BackendPtr> &exclude,
+                              TimePoint now) const
+{
+    const auto *found = find(service);
+    if (found == nullptr)
+        return nullptr;
+    BackendPtr best;
+    double bestCost = 0;
+    for (const auto &it : found->backends) {
+        if (!usable(*it, now) || !hasRoom(*it, now))
+            continue;
+        if (std::find(exclude.begin(), exclude.end(), it) != exclude.end())
+            continue;
+        const double itsCost = cost(*found, *it, now);
+        if (!best || itsCost < bestCost) {
+            best = it;
+            bestCost = itsCost;
+        }
+    }
+    return best;
+}
+
+bool BackendTable::hasUsable(const std::string &service, const std::vector<BackendPtr> &exclude,
+                             TimePoint now) const
+{
+    const auto *found = find(service);
+    if (found == nullptr)
+        return false;
+    return std::any_of(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
+        return usable(*it, now)
+            && std::find(exclude.begin(), exclude.end(), it) == exclude.end();
+    });
+}
+
+int BackendTable::room(const std::string &service, TimePoint now) const
+{
+    const auto *found = find(service);
+    if (found == nullptr)
+        return 0;
+    return static_cast<int>(
+        std::count_if(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
+            return usable(*it, now) && hasRoom(*it, now);
+        }));
+}
+
+void BackendTable::sent(Backend &backend, TimePoint now)
+{
+    backend.pending.push_back(now);
+}
+
+void BackendTable::ended(Backend &backend, BackendEnd end, TimePoint sentAt, TimePoint now)
+{
+    const auto it = std::find(backend.pending.begin(), backend.pending.end(), sentAt);
+    if (it != backend.pending.end())
+        backend.pending.erase(it);
+    auto &service = m_services[backend.record.service];
+    const double latency = core::toMillis(now - sentAt);
+    switch (end) {
+    case BackendEnd::Answered:
+        backend.failureShare *= 1 - failureWeight;
+        backend.failuresInRow = 0;
+        sample(service, backend, latency, now);
+        return;
+    case BackendEnd::Refused:
+        backend.fullUntil = now + m_limits.fullTime;
+        return;
+    case BackendEnd::Misdirected:
+        backend.listed = false;
+        return;
+    case BackendEnd::Failed:
+        fail(backend, now, 1);
+        return;
+    case BackendEnd::NotReached:
+        fail(backend, now, m_limits.failuresToEject);
+        return;
+    case BackendEnd::Abandoned:
+        sample(service, backend, latency, now);
+        fail(backend, now, 1);
+        return;
+    case BackendEnd::Withdrawn:
+        return;
+    }
+}
+
+void BackendTable::fail(Backend &backend, TimePoint now, int weight)
+{
+    backend.failureShare += failureWeight * (1 - backend.failureShare);
+    backend.failuresInRow += weight;
+    if (backend.failuresInRow < m_limits.failuresToEject)
+        return;
+    const int doublings =
+        std::min((backend.failuresInRow - m_limits.failuresToEject) / m_limits.failuresToEject, 4);
+    const auto time = std::min(m_limits.longestEjection, m_limits.firstEjection * (1 << doublings));
+    backend.ejectedUntil = now + time;
+}
+
+void BackendTable::sample(Service &service, Backend &backend, double latencyMs, TimePoint now)
+{
+    if (backend.latencyMs <= 0) {
+        backend.latencyMs = latencyMs;
+    } else {
+        backend.latencyMs += sampleWeight * (latencyMs - backend.latencyMs);
+    }
+    backend.sampledAt = now;
+    if (service.typicalMs <= 0) {
+        service.typicalMs = latencyMs;
+        service.lateMs = 2 * latencyMs;
+        return;
+    }
+    service.typicalMs += typicalWeight * (latencyMs - service.typicalMs);
+    // Moves up and down in the ratio in which samples are above and below the quantile.
+    const double step = lateStep * service.lateMs;
+    service.lateMs += latencyMs > service.lateMs ? step * (1 - lateShare) : -step * lateShare;
+}
+
+void BackendTable::reported(Backend &backend, int running, int waiting, int slots, TimePoint now)
+{
+    const int own = static_cast<int>(backend.pending.size());
+    backend.reportedExcess = std::max(0, running + waiting - own);
+    backend.reportedAt = now;
+    if (slots > 0)
+        backend.record.slots = slots;
+}
+
+void BackendTable::noteLeaving(Backend &backend)
+{
+    backend.record.leaving = true;
+}
+
+core::Duration BackendTable::hedgeDelay(const std::string &service) const
+{
+    const auto *found = find(service);
+    double late = found == nullptr ? 0 : found->lateMs;
+    if (late <= 0)
+        late = 2 * m_limits.unknownLatencyMs;
+    late = std::clamp(late, shortestHedgeMs, longestHedgeMs);
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double, std::milli>(late));
+}
+
+double BackendTable::typicalMs(const std::string &service) const
+{
+    const auto *found = find(service);
+    return found == nullptr || found->typicalMs <= 0 ? m_limits.unknownLatencyMs
+                                                     : found->typicalMs;
+}
+
+} // namespace goldcrestline::policy::forward
