--- a/packages/adapters/loop/endpoint.h
+++ b/packages/adapters/loop/endpoint.h
@@ -8,7 +8,7 @@
 namespace goldcrestline::adapters::loop {
 
 // Parses "IP:PORT", the IP in brackets if it is an IPv6 address; nothing if it is malformed.
-// Thread-safe.
+// Port 0 lets the system choose one. Thread-safe.
 template <typename Protocol>
 std::optional<typename Protocol::endpoint> parseEndpoint(const std::string &address)
 {
@@ -26,7 +26,7 @@
             return std::nullopt;
         port = port * 10 + static_cast<unsigned>(c - '0');
     }
-    if (port == 0 || port > highestPort)
+    if (port > highestPort)
         return std::nullopt;
     boost::system::error_code ec;
     const auto parsed = boost::asio::ip::make_address(ip, ec);
--- a/packages/adapters/loop/front_server.cpp
+++ b/packages/adapters/loop/front_server.cpp
@@ -186,9 +186,8 @@
         std::size_t used = 0;
         const bool headBefore = parser.is_header_done();
         while (used < session->unparsed.size() && !parser.is_done() && !ec) {
-            const auto n = parser.put(asio::buffer(session->unparsed.data() + used,
-                                                   session->unparsed.size() - used),
-                                      ec);
+            const auto n = parser.put(
+                asio::buffer(session->unparsed.data() + used, session->unparsed.size() - used), ec);
             used += n;
             if (n == 0)
                 break;
@@ -294,8 +293,7 @@
     {
         session->state = SessionState::Writing;
         session->until = core::Clock::now() + writeTime;
-        const bool toHead =
-            session->parser && session->parser->get().method() == http::verb::head;
+        const bool toHead = session->parser && session->parser->get().method() == http::verb::head;
         std::string head = statusLine(answer.status);
         for (const auto &it : answer.headers)
             head += it.name + ": " + it.value + "\r\n";
@@ -386,6 +384,11 @@
 
 FrontServer::~FrontServer() = default;
 
+unsigned short FrontServer::port() const
+{
+    return m_impl->acceptor.local_endpoint().port();
+}
+
 void FrontServer::setLimits(FrontLimits limits)
 {
     m_impl->limits = limits;
--- a/packages/adapters/loop/front_server.h
+++ b/packages/adapters/loop/front_server.h
@@ -51,6 +51,9 @@
     FrontServer(const FrontServer &) = delete;
     FrontServer &operator=(const FrontServer &) = delete;
 
+    // Returns the port that is listened on.
+    unsigned short port() const;
+
     // Takes new limits; requests that are being read keep theirs.
     void setLimits(FrontLimits limits);
 
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -54,7 +54,8 @@
         IntegerNode confirmationMs{this, "confirmation_ms", 4000, 500, 60000};
         // Upper bound of hosts at any time; divides each server's connections.
         IntegerNode hostsAtMost{this, "hosts_at_most", 12, 1, 10000};
-        // For routes: control addresses of other hosts, whose peers listen on the same port as ours.
+        // For routes: control addresses of other hosts, whose peers listen on the same port as
+        // ours.
         TextListNode seedControls{this, "seed_controls", TextForm::Address};
     } peers{this, "peers"};
 
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -67,11 +67,12 @@
     Host(std::shared_ptr<const adapters::settings::Settings> settings, std::string path)
         : m_settings(std::move(settings)), m_path(std::move(path)), m_signals(m_io), m_timer(m_io),
           m_backendClient(m_io, {}), m_storeClient(m_io, storeOptions()),
-          m_backends(m_settings->host.zone.value, {},
-                     [this](const std::string &service) { return connectionShare(service); },
-                     [this] { return uniform(); }),
-          m_servers(m_backends), m_forward(forwardLimits(), m_backends, m_backendClient,
-                                           [this] { return uniform(); }),
+          m_backends(
+              m_settings->host.zone.value, {},
+              [this](const std::string &service) { return connectionShare(service); },
+              [this] { return uniform(); }),
+          m_servers(m_backends),
+          m_forward(forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); }),
           m_config(platform::names::configKind, m_storeClient, mirror(), configHooks()),
           m_serverSync(platform::names::serversKind, m_storeClient, mirror(), serverHooks()),
           m_link(m_io, m_settings->listen.peers.value,
@@ -88,9 +89,8 @@
 
     void run()
     {
-        log.info("start name=" + m_settings->host.name.value
-                 + " zone=" + m_settings->host.zone.value
-                 + " callers=" + m_settings->listen.callers.value);
+        log.info("start name=" + m_settings->host.name.value + " zone="
+                 + m_settings->host.zone.value + " callers=" + m_settings->listen.callers.value);
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
         m_signals.add(SIGHUP);
@@ -116,7 +116,10 @@
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
-    unsigned below(unsigned n) { return std::uniform_int_distribution<unsigned>(0, n - 1)(m_random); }
+    unsigned below(unsigned n)
+    {
+        return std::uniform_int_distribution<unsigned>(0, n - 1)(m_random);
+    }
 
     ForwardLimits forwardLimits() const
     {
@@ -124,9 +127,10 @@
         ForwardLimits limits;
         limits.callerTransit = forward.callerTransitMs.millis();
         limits.extraShare = budgetShare * forward.extraShare.value;
-        limits.extraBurst = std::max(1.0,
-                                     budgetShare * forward.extraSlack.value
-                                         / static_cast<double>(m_settings->peers.hostsAtMost.value));
+        limits.extraBurst =
+            std::max(1.0,
+                     budgetShare * forward.extraSlack.value
+                         / static_cast<double>(m_settings->peers.hostsAtMost.value));
         return limits;
     }
 
@@ -216,10 +220,7 @@
                        TimePoint now) { takeNews(news, now); }};
     }
 
-    std::uint64_t version() const
-    {
-        return m_forward.routes() ? m_forward.routes()->version() : 0;
-    }
+    std::uint64_t version() const { return m_forward.routes() ? m_forward.routes()->version() : 0; }
 
     // A watch whose connection went silent shows in peers that know more for some time.
     void takeNews(const ports::Gossip &news, TimePoint now)
@@ -238,8 +239,7 @@
         if (m_behindSince == TimePoint{} || now - m_behindSince < newsPatience)
             return;
         m_behindSince = now;
-        log.info("peers know a newer configuration version="
-                 + std::to_string(m_highestVersion));
+        log.info("peers know a newer configuration version=" + std::to_string(m_highestVersion));
         if (!m_config.mirror().failing())
             m_config.onBehind(now);
     }
@@ -250,14 +250,13 @@
                     m_forward.handle(std::move(call), now);
                     arm(now);
                 },
-                [this](std::uint64_t id, TimePoint now) { m_forward.onGone(id, now); },
-                unreadable};
+                [this](std::uint64_t id, TimePoint now) { m_forward.onGone(id, now); }, unreadable};
     }
 
     adapters::loop::FrontHooks plainHooks()
     {
         return {[this](const FrontCall &call, TimePoint) { call.respond(answer(call.request)); },
-                [](std::uint64_t, TimePoint) { }, unreadable};
+                [](std::uint64_t, TimePoint) {}, unreadable};
     }
 
     ports::Outgoing answer(const ports::Incoming &request)
@@ -276,8 +275,8 @@
     ports::Outgoing resolve(const platform::ResolveQuestion &question)
     {
         const auto chosen =
-            policy::entrypoints::choose(m_membership.table().all(), question.zone,
-                                        addressesAtMost, [this](unsigned n) { return below(n); });
+            policy::entrypoints::choose(m_membership.table().all(), question.zone, addressesAtMost,
+                                        [this](unsigned n) { return below(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
             // Callers choose at random, so other zones are told of only when the own has none.
@@ -326,11 +325,10 @@
 
     void findHosts(const std::string &after, TimePoint now)
     {
-        m_storeClient.send(m_settings->platform.address.value,
-                           platform::listRequest(platform::names::hostsKind, after), now,
-                           [this](const ports::ExchangeResult &result) {
-                               onHosts(platform::readReply(result));
-                           });
+        m_storeClient.send(
+            m_settings->platform.address.value,
+            platform::listRequest(platform::names::hostsKind, after), now,
+            [this](const ports::ExchangeResult &result) { onHosts(platform::readReply(result)); });
     }
 
     void onHosts(const platform::StoreReply &reply)
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -121,8 +121,8 @@
     times.startedAt = now;
     times.deadline = now + patience;
     times.objectiveAt = now + route.objective - m_limits.callerTransit;
-    times.refuseAt = now
-        + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.refuseShare);
+    times.refuseAt =
+        now + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.refuseShare);
     auto services = route.shards;
     if (!route.fansOut())
         services.push_back(m_split.next(route));
@@ -166,8 +166,7 @@
 {
     ports::ExchangeRequest request;
     request.commonHead = running.head;
-    const auto left =
-        std::chrono::duration_cast<core::Millis>(running.call.times().deadline - now);
+    const auto left = std::chrono::duration_cast<core::Millis>(running.call.times().deadline - now);
     request.ownHead =
         platform::attemptHead(order.backend->record.id, std::max(left, core::Millis(1)));
     request.body = running.body;
@@ -182,11 +181,11 @@
     attempt.call = id;
     attempt.backend = order.backend;
     attempt.sentAt = now;
-    attempt.exchange = m_client.send(order.backend->record.address, std::move(request), now,
-                                     [this, attemptId = order.attempt](ports::ExchangeResult result) {
-                                         onExchange(attemptId, std::move(result),
-                                                    core::Clock::now());
-                                     });
+    attempt.exchange =
+        m_client.send(order.backend->record.address, std::move(request), now,
+                      [this, attemptId = order.attempt](ports::ExchangeResult result) {
+                          onExchange(attemptId, std::move(result), core::Clock::now());
+                      });
 }
 
 void ForwardService::onExchange(policy::forward::AttemptId id, ports::ExchangeResult result,
@@ -243,6 +242,7 @@
         return BackendEnd::Failed;
     switch (reply.kind) {
     case ReplyKind::Success:
+    case ReplyKind::Final:
         return BackendEnd::Answered;
     case ReplyKind::Failure:
         return BackendEnd::Failed;
@@ -260,8 +260,7 @@
     const auto part = running.call.partOf(id);
     if (!part || running.call.partDone(*part))
         return;
-    const bool passable = reply.kind == ReplyKind::Success || reply.kind == ReplyKind::Failure;
-    if (!passable)
+    if (reply.kind == ReplyKind::NotRun || reply.kind == ReplyKind::Misdirected)
         return;
     if (!running.call.route().fansOut()) {
         running.response = std::move(result);
@@ -287,8 +286,12 @@
 ports::Outgoing ForwardService::answerOf(Running &running, const Finish &finish)
 {
     switch (finish.end) {
-    case CallEnd::Passed:
     case CallEnd::PassedFailure:
+        // A server that ran the request may still answer with such a status.
+        if (platform::promisesNotRun(running.response.status))
+            return refusal(ResultCode::ServersFailed);
+        return platform::passOn(std::move(running.response));
+    case CallEnd::Passed:
         return platform::passOn(std::move(running.response));
     case CallEnd::Merged: {
         std::vector<std::string> proofs;
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -49,11 +49,11 @@
         request = platform::listRequest(m_kind, std::get<policy::mirror::ListStep>(step).after);
     }
     ++m_calls;
-    m_exchange = m_client.send(m_hooks.address(), std::move(request), now,
-                               [this, watching = watch != nullptr](ports::ExchangeResult result) {
-                                   onReply(watching, platform::readReply(result),
-                                           core::Clock::now());
-                               });
+    m_exchange =
+        m_client.send(m_hooks.address(), std::move(request), now,
+                      [this, watching = watch != nullptr](ports::ExchangeResult result) {
+                          onReply(watching, platform::readReply(result), core::Clock::now());
+                      });
 }
 
 void StoreSync::onReply(bool watching, platform::StoreReply reply, TimePoint now)
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -106,15 +106,19 @@
     return static_cast<int>(backend.pending.size()) < std::max(limit, 1);
 }
 
-double BackendTable::cost(const Service &service, const Backend &backend, TimePoint now) const
+double BackendTable::expectedMs(const Service &service, const Backend &backend, TimePoint now) const
 {
     const double typical = service.typicalMs > 0 ? service.typicalMs : m_limits.unknownLatencyMs;
-    double latency = typical;
-    if (backend.latencyMs > 0) {
-        const double weight = halving(core::toMillis(now - backend.sampledAt),
-                                      core::toMillis(m_limits.sampleHalfLife));
-        latency = weight * backend.latencyMs + (1 - weight) * typical;
-    }
+    if (backend.latencyMs <= 0)
+        return typical;
+    const double weight =
+        halving(core::toMillis(now - backend.sampledAt), core::toMillis(m_limits.sampleHalfLife));
+    return weight * backend.latencyMs + (1 - weight) * typical;
+}
+
+double BackendTable::cost(const Service &service, const Backend &backend, TimePoint now) const
+{
+    const double latency = expectedMs(service, backend, now);
     const int slots = std::max(backend.record.slots, 1);
     const double excess = backend.reportedExcess
         * halving(core::toMillis(now - backend.reportedAt), reportHalfLifeMs);
@@ -160,8 +164,7 @@
     if (found == nullptr)
         return false;
     return std::any_of(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
-        return usable(*it, now)
-            && std::find(exclude.begin(), exclude.end(), it) == exclude.end();
+        return usable(*it, now) && std::find(exclude.begin(), exclude.end(), it) == exclude.end();
     });
 }
 
@@ -171,9 +174,8 @@
     if (found == nullptr)
         return 0;
     return static_cast<int>(
-        std::count_if(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
-            return usable(*it, now) && hasRoom(*it, now);
-        }));
+        std::count_if(found->backends.begin(), found->backends.end(),
+                      [&](const BackendPtr &it) { return usable(*it, now) && hasRoom(*it, now); }));
 }
 
 void BackendTable::sent(Backend &backend, TimePoint now)
@@ -232,7 +234,9 @@
     if (backend.latencyMs <= 0) {
         backend.latencyMs = latencyMs;
     } else {
-        backend.latencyMs += sampleWeight * (latencyMs - backend.latencyMs);
+        // An old average tells little of a server that may have recovered since.
+        const double before = expectedMs(service, backend, now);
+        backend.latencyMs = before + sampleWeight * (latencyMs - before);
     }
     backend.sampledAt = now;
     if (service.typicalMs <= 0) {
@@ -274,8 +278,7 @@
 double BackendTable::typicalMs(const std::string &service) const
 {
     const auto *found = find(service);
-    return found == nullptr || found->typicalMs <= 0 ? m_limits.unknownLatencyMs
-                                                     : found->typicalMs;
+    return found == nullptr || found->typicalMs <= 0 ? m_limits.unknownLatencyMs : found->typicalMs;
 }
 
 } // namespace goldcrestline::policy::forward
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -147,6 +147,8 @@
     const Service *find(const std::string &service) const;
     bool usable(const Backend &backend, core::TimePoint now) const;
     bool hasRoom(const Backend &backend, core::TimePoint now) const;
+    // Latency to expect of an idle server: its own, which ages towards the service's typical one.
+    double expectedMs(const Service &service, const Backend &backend, core::TimePoint now) const;
     double cost(const Service &service, const Backend &backend, core::TimePoint now) const;
     void sample(Service &service, Backend &backend, double latencyMs, core::TimePoint now);
     void fail(Backend &backend, core::TimePoint now, int weight);
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -144,6 +144,11 @@
     case ReplyKind::Failure:
         m_failurePassable = !m_route.fansOut();
         break;
+    case ReplyKind::Final:
+        if (!m_route.fansOut())
+            return finish(CallEnd::PassedFailure, out);
+        part.lost = part.live == 0;
+        return conclude(now, out);
     case ReplyKind::NotRun:
     case ReplyKind::Misdirected:
         --part.mayHaveRun;
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -21,6 +21,8 @@
     Success,
     // The server's own failure: the request ran.
     Failure,
+    // The server's own answer that other servers would give too.
+    Final,
     // The server says that it did not start the request.
     NotRun,
     // The address belongs to another server, which did not run the request.
@@ -174,8 +176,7 @@
     };
 
     void trySend(std::size_t part, core::TimePoint now, CallActions &out);
-    void sendTo(std::size_t part, const BackendPtr &backend, core::TimePoint now,
-                CallActions &out);
+    void sendTo(std::size_t part, const BackendPtr &backend, core::TimePoint now, CallActions &out);
     void hedge(std::size_t part, core::TimePoint now, CallActions &out);
     void conclude(core::TimePoint now, CallActions &out);
     void finish(CallEnd end, CallActions &out);
--- /dev/null
+++ b/tests/unit/backend_table_test.cpp
@@ -0,0 +1,172 @@
+#include "policy/forward/backend_table.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace goldcrestline;
+using namespace goldcrestline::policy::forward;
+using namespace std::chrono_literals;
+using core::TimePoint;
+
+namespace {
+
+const TimePoint start = TimePoint{} + 1h;
+
+BackendRecord recordOf(const std::string &id, const std::string &zone)
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = "s";
+    record.address = "127.0.0.1:1";
+    record.zone = zone;
+    record.slots = 2;
+    return record;
+}
+
+struct Table
+{
+    int share = 2;
+    BackendTable backends{
+        "a", {}, [this](const std::string &) { return share; }, [] { return 0.5; }};
+
+    Table()
+    {
+        for (const char *zone : {"a", "b", "c"})
+            backends.put(recordOf(std::string("s-") + zone, zone));
+    }
+
+    // Sends requests one after the other, each taking its server's time in ms.
+    std::map<std::string, int> load(int n, std::map<std::string, int> timesMs, TimePoint &now)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < n; ++i) {
+            const auto backend = backends.pick("s", {}, now);
+            REQUIRE(backend);
+            backends.sent(*backend, now);
+            const auto sentAt = now;
+            now += std::chrono::milliseconds(timesMs[backend->record.id]);
+            backends.ended(*backend, BackendEnd::Answered, sentAt, now);
+            ++counts[backend->record.id];
+        }
+        return counts;
+    }
+};
+
+} // namespace
+
+TEST_CASE("servers of the own zone come first")
+{
+    Table table;
+    auto now = start;
+    const auto counts = table.load(50, {{"s-a", 8}, {"s-b", 17}, {"s-c", 17}}, now);
+    CHECK(counts.at("s-a") == 50);
+}
+
+TEST_CASE("a slow server is left and found again after it recovers")
+{
+    Table table;
+    auto now = start;
+    table.load(20, {{"s-a", 8}, {"s-b", 17}, {"s-c", 17}}, now);
+    auto counts = table.load(60, {{"s-a", 80}, {"s-b", 17}, {"s-c", 17}}, now);
+    CHECK(counts["s-a"] < 10);
+    now += 10s;
+    counts = table.load(60, {{"s-a", 8}, {"s-b", 17}, {"s-c", 17}}, now);
+    CHECK(counts["s-a"] > 30);
+}
+
+TEST_CASE("a server that stalls gets no further requests while it does")
+{
+    Table table;
+    auto now = start;
+    table.load(20, {{"s-a", 8}, {"s-b", 17}, {"s-c", 17}}, now);
+    const auto stalled = table.backends.pick("s", {}, now);
+    REQUIRE(stalled->record.id == "s-a");
+    table.backends.sent(*stalled, now);
+    const auto next = table.backends.pick("s", {}, now + 50ms);
+    CHECK(next->record.id != "s-a");
+}
+
+TEST_CASE("a host uses no more than its share of a server's connections")
+{
+    Table table;
+    std::vector<BackendPtr> sent;
+    for (int i = 0; i < 6; ++i) {
+        auto backend = table.backends.pick("s", {}, start);
+        REQUIRE(backend);
+        table.backends.sent(*backend, start);
+    }
+    CHECK_FALSE(table.backends.pick("s", {}, start));
+    CHECK(table.backends.room("s", start) == 0);
+    CHECK(table.backends.hasUsable("s", {}, start));
+}
+
+TEST_CASE("leaving, removed and misdirected servers get nothing")
+{
+    Table table;
+    auto leaving = recordOf("s-a", "a");
+    leaving.leaving = true;
+    table.backends.put(leaving);
+    table.backends.remove("s-b");
+    auto last = table.backends.pick("s", {}, start);
+    REQUIRE(last->record.id == "s-c");
+    table.backends.sent(*last, start);
+    table.backends.ended(*last, BackendEnd::Misdirected, start, start + 1ms);
+    CHECK_FALSE(table.backends.pick("s", {}, start + 1ms));
+    CHECK_FALSE(table.backends.hasUsable("s", {}, start + 1ms));
+    SECTION("a server that left stays out when its entry says it is ready")
+    {
+        table.backends.put(recordOf("s-a", "a"));
+        CHECK_FALSE(table.backends.hasUsable("s", {}, start + 1ms));
+    }
+    SECTION("a new start under the same id is a new server")
+    {
+        auto again = recordOf("s-a", "a");
+        again.startedAt = 7;
+        table.backends.put(again);
+        CHECK(table.backends.pick("s", {}, start + 1ms)->record.startedAt == 7);
+    }
+}
+
+TEST_CASE("a server that cannot be reached rests for growing times")
+{
+    Table table;
+    auto now = start;
+    for (int i = 0; i < 3; ++i) {
+        const auto backend = table.backends.pick("s", {}, now);
+        REQUIRE(backend->record.id == "s-a");
+        table.backends.sent(*backend, now);
+        table.backends.ended(*backend, BackendEnd::NotReached, now, now);
+        CHECK(table.backends.pick("s", {}, now) != backend);
+        now = backend->ejectedUntil + 1ms;
+        // The failures weigh on the choice; without other servers it is tried again.
+        table.backends.remove("s-b");
+        table.backends.remove("s-c");
+    }
+    CHECK(now - start > 1500ms);
+}
+
+TEST_CASE("a refusal keeps requests away for a moment")
+{
+    Table table;
+    const auto backend = table.backends.pick("s", {}, start);
+    table.backends.sent(*backend, start);
+    table.backends.ended(*backend, BackendEnd::Refused, start, start + 1ms);
+    CHECK(table.backends.pick("s", {}, start + 2ms) != backend);
+    CHECK(table.backends.pick("s", {}, start + 100ms) == backend);
+}
+
+TEST_CASE("the hedge delay follows the late answers of the service")
+{
+    Table table;
+    auto now = start;
+    for (int i = 0; i < 2000; ++i) {
+        const auto backend = table.backends.pick("s", {}, now);
+        table.backends.sent(*backend, now);
+        const auto sentAt = now;
+        now += i % 20 == 0 ? 100ms : 10ms;
+        table.backends.ended(*backend, BackendEnd::Answered, sentAt, now);
+    }
+    const auto delay = core::toMillis(table.backends.hedgeDelay("s"));
+    CHECK(delay >= 9);
+    CHECK(delay < 60);
+}
--- /dev/null
+++ b/tests/unit/forward_call_test.cpp
@@ -0,0 +1,393 @@
+#include "policy/forward/call.h"
+
+#include "policy/retry/budget.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace goldcrestline;
+using namespace goldcrestline::policy::forward;
+using namespace std::chrono_literals;
+using core::TimePoint;
+
+namespace {
+
+const TimePoint start = TimePoint{} + 1h;
+
+// Servers and budgets of a call, and what happened to its attempts.
+struct World
+{
+    std::map<std::string, std::vector<BackendPtr>> servers;
+    std::set<BackendPtr> full;
+    std::map<std::string, policy::retry::Budget> budgets;
+    AttemptId last = 0;
+    int spent = 0;
+    CallHooks hooks;
+
+    World()
+    {
+        hooks.pick = [this](const std::string &service, CallRank, const auto &exclude, TimePoint) {
+            for (const auto &it : servers[service]) {
+                const bool tried = std::find(exclude.begin(), exclude.end(), it) != exclude.end();
+                if (!tried && full.count(it) == 0)
+                    return it;
+            }
+            return BackendPtr();
+        };
+        hooks.hasUsable = [this](const std::string &service, const auto &exclude, TimePoint) {
+            return std::any_of(servers[service].begin(), servers[service].end(), [&](auto &it) {
+                return std::find(exclude.begin(), exclude.end(), it) == exclude.end();
+            });
+        };
+        hooks.spend = [this](const std::string &service, TimePoint) {
+            const bool may = budgets.try_emplace(service, 0.2, 3).first->second.spend();
+            spent += may ? 1 : 0;
+            return may;
+        };
+        hooks.earn = [this](const std::string &service, TimePoint) {
+            budgets.try_emplace(service, 0.2, 3).first->second.earn();
+        };
+        hooks.hedgeDelay = [](const std::string &) { return core::Duration(20ms); };
+        hooks.nextAttempt = [this] { return ++last; };
+    }
+
+    void add(const std::string &service, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            auto backend = std::make_shared<Backend>();
+            backend->record.id = service + "-" + std::to_string(i);
+            backend->record.service = service;
+            servers[service].push_back(backend);
+        }
+    }
+};
+
+RouteTablePtr tableOf(Route route)
+{
+    return std::make_shared<const RouteTable>(1, std::vector<Route>{std::move(route)},
+                                              std::map<std::string, ServiceTraits>{},
+                                              CallerBounds{});
+}
+
+Route plainRoute(Repeatability repeatability)
+{
+    Route route;
+    route.name = "plain";
+    route.services = {{"s", 1}};
+    route.repeatability = repeatability;
+    route.maxAttempts = 2;
+    return route;
+}
+
+Route fanoutRoute(int shards, double least)
+{
+    Route route;
+    route.name = "all";
+    route.repeatability = Repeatability::Idempotent;
+    route.maxAttempts = 2;
+    route.leastShare = least;
+    for (int i = 0; i < shards; ++i)
+        route.shards.push_back("shard" + std::to_string(i));
+    return route;
+}
+
+CallTimes times()
+{
+    return {start, start + 90ms, start + 500ms, start + 20ms};
+}
+
+// A call with the actions that it gave.
+struct Run
+{
+    World &world;
+    RouteTablePtr table;
+    Call call;
+    std::vector<Send> sends;
+    std::vector<Finish> ends;
+
+    Run(World &world, Route route)
+        : world(world), table(tableOf(std::move(route))),
+          call(table, table->routes().front(), servicesOf(table->routes().front()), 1, times(),
+               world.hooks)
+    {
+        step([&](CallActions &out) { call.start(start, out); });
+    }
+
+    static std::vector<std::string> servicesOf(const Route &route)
+    {
+        return route.fansOut() ? route.shards : std::vector<std::string>{"s"};
+    }
+
+    template <typename Work>
+    void step(Work work)
+    {
+        CallActions out;
+        work(out);
+        for (const auto &it : out) {
+            if (const auto *send = std::get_if<Send>(&it))
+                sends.push_back(*send);
+            else
+                ends.push_back(std::get<Finish>(it));
+        }
+    }
+
+    void reply(std::size_t send, ReplyKind kind, TimePoint now)
+    {
+        step([&](CallActions &out) { call.onReply(sends[send].attempt, kind, now, out); });
+    }
+    void lose(std::size_t send, AttemptLoss loss, TimePoint now)
+    {
+        step([&](CallActions &out) { call.onLoss(sends[send].attempt, loss, now, out); });
+    }
+    void passTime(TimePoint now)
+    {
+        step([&](CallActions &out) { call.onTime(now, out); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request that may have run is not sent again unless it is idempotent")
+{
+    World world;
+    world.add("s", 3);
+    Run run(world, plainRoute(Repeatability::NonIdempotent));
+    REQUIRE(run.sends.size() == 1);
+    SECTION("lost on the way")
+    {
+        run.lose(0, AttemptLoss::Broken, start + 5ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::Failed);
+        CHECK(run.sends.size() == 1);
+    }
+    SECTION("silent until the deadline")
+    {
+        run.passTime(start + 100ms);
+        run.passTime(start + 500ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::TimedOut);
+        CHECK(run.sends.size() == 1);
+    }
+    SECTION("not run, so another server may")
+    {
+        run.reply(0, ReplyKind::NotRun, start + 5ms);
+        REQUIRE(run.sends.size() == 2);
+        run.reply(1, ReplyKind::Success, start + 9ms);
+        CHECK(run.ends.at(0).end == CallEnd::Passed);
+    }
+    SECTION("failed by the server, which is passed on")
+    {
+        run.reply(0, ReplyKind::Failure, start + 5ms);
+        CHECK(run.ends.at(0).end == CallEnd::PassedFailure);
+        CHECK(run.sends.size() == 1);
+    }
+}
+
+TEST_CASE("a late idempotent attempt is hedged once and the first answer counts")
+{
+    World world;
+    world.add("s", 3);
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    run.passTime(start + 19ms);
+    CHECK(run.sends.size() == 1);
+    run.passTime(start + 20ms);
+    REQUIRE(run.sends.size() == 2);
+    CHECK(run.sends[1].backend != run.sends[0].backend);
+    run.passTime(start + 80ms);
+    CHECK(run.sends.size() == 2);
+    run.reply(1, ReplyKind::Success, start + 81ms);
+    REQUIRE(run.ends.size() == 1);
+    run.reply(0, ReplyKind::Success, start + 82ms);
+    CHECK(run.ends.size() == 1);
+}
+
+TEST_CASE("a server's own refusal of the request is passed on without another try")
+{
+    World world;
+    world.add("s", 3);
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    run.reply(0, ReplyKind::Final, start + 5ms);
+    REQUIRE(run.ends.size() == 1);
+    CHECK(run.ends[0].end == CallEnd::PassedFailure);
+    CHECK(run.sends.size() == 1);
+}
+
+TEST_CASE("a request that no server can take is refused at once")
+{
+    World world;
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    REQUIRE(run.ends.size() == 1);
+    CHECK(run.ends[0].end == CallEnd::NotRun);
+}
+
+TEST_CASE("a request that waits for room is refused after its share of the objective")
+{
+    World world;
+    world.add("s", 2);
+    world.full = {world.servers["s"][0], world.servers["s"][1]};
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    CHECK(run.ends.empty());
+    CHECK(run.call.waitsForRoom(0));
+    SECTION("no room")
+    {
+        CHECK(run.call.nextWake(start) <= start + 20ms);
+        run.passTime(start + 20ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::NotRun);
+    }
+    SECTION("room in time")
+    {
+        world.full.clear();
+        run.step([&](CallActions &out) { run.call.onRoom(0, start + 5ms, out); });
+        CHECK(run.sends.size() == 1);
+        run.passTime(start + 25ms);
+        CHECK(run.ends.empty());
+    }
+}
+
+TEST_CASE("a fan-out answers with what is there when the objective ends, if that is enough")
+{
+    World world;
+    for (int i = 0; i < 10; ++i)
+        world.add("shard" + std::to_string(i), 1);
+    Run run(world, fanoutRoute(10, 0.89));
+    REQUIRE(run.sends.size() == 10);
+    for (std::size_t i = 0; i < 8; ++i)
+        run.reply(i, ReplyKind::Success, start + 10ms);
+    run.passTime(start + 90ms);
+    CHECK(run.ends.empty());
+    SECTION("the ninth part comes late")
+    {
+        run.reply(8, ReplyKind::Success, start + 120ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::Merged);
+        CHECK(run.ends[0].parts.size() == 9);
+    }
+    SECTION("it never comes")
+    {
+        run.passTime(start + 500ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::TimedOut);
+    }
+    SECTION("two parts are lost for good")
+    {
+        run.lose(8, AttemptLoss::Broken, start + 95ms);
+        CHECK(run.ends.empty());
+        run.lose(9, AttemptLoss::Broken, start + 96ms);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::Failed);
+    }
+}
+
+TEST_CASE("an exhausted budget stops extra attempts")
+{
+    World world;
+    world.add("s", 3);
+    world.budgets.try_emplace("s", 0.2, 0);
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    run.passTime(start + 60ms);
+    CHECK(run.sends.size() == 1);
+    CHECK(world.spent == 0);
+}
+
+// Plays a call against servers whose behaviour follows from the seed and checks what must hold.
+TEST_CASE("calls keep their promises whatever the servers do")
+{
+    rc::prop("promises", [](unsigned seed) {
+        std::mt19937 random(seed);
+        const auto below = [&](unsigned n) { return random() % n; };
+        World world;
+        const bool fansOut = below(2) == 0;
+        Route route;
+        if (fansOut) {
+            const int shards = 1 + static_cast<int>(below(6));
+            route = fanoutRoute(shards, 0.1 + 0.1 * static_cast<double>(below(10)));
+            for (const auto &it : route.shards)
+                world.add(it, static_cast<int>(below(4)));
+        } else {
+            route = plainRoute(below(2) == 0 ? Repeatability::Idempotent
+                                             : Repeatability::NonIdempotent);
+            world.add("s", static_cast<int>(below(5)));
+        }
+        route.maxAttempts = 1 + static_cast<int>(below(3));
+        Run run(world, route);
+        std::map<std::size_t, int> ran;
+        std::set<AttemptId> open;
+        std::set<std::size_t> succeeded;
+        std::size_t seen = 0;
+        auto now = start;
+        for (int i = 0; i < 400 && run.ends.empty(); ++i) {
+            for (; seen < run.sends.size(); ++seen) {
+                open.insert(run.sends[seen].attempt);
+                ++ran[run.sends[seen].part];
+            }
+            world.full.clear();
+            for (const auto &it : world.servers) {
+                for (const auto &backend : it.second) {
+                    if (below(4) == 0)
+                        world.full.insert(backend);
+                }
+            }
+            now += std::chrono::milliseconds(below(8));
+            if (open.empty() || below(3) == 0) {
+                run.passTime(now);
+                continue;
+            }
+            const auto attempt =
+                *std::next(open.begin(), below(static_cast<unsigned>(open.size())));
+            const auto send = std::find_if(run.sends.begin(), run.sends.end(),
+                                           [&](const Send &it) { return it.attempt == attempt; });
+            const auto part = send->part;
+            const auto at = static_cast<std::size_t>(send - run.sends.begin());
+            open.erase(attempt);
+            switch (below(6)) {
+            case 0:
+            case 1:
+                if (!run.call.partDone(part))
+                    succeeded.insert(part);
+                run.reply(at, ReplyKind::Success, now);
+                break;
+            case 2:
+                run.reply(at, ReplyKind::Failure, now);
+                break;
+            case 3:
+                --ran[part];
+                run.reply(at, below(2) == 0 ? ReplyKind::NotRun : ReplyKind::Misdirected, now);
+                break;
+            case 4:
+                --ran[part];
+                run.lose(at, AttemptLoss::NotReached, now);
+                break;
+            default:
+                run.lose(at, AttemptLoss::Broken, now);
+                break;
+            }
+            for (const auto &it : ran) {
+                const int limit =
+                    route.repeatability == Repeatability::Idempotent ? route.maxAttempts : 1;
+                RC_ASSERT(it.second <= limit);
+            }
+        }
+        run.passTime(start + 500ms);
+        RC_ASSERT(run.ends.size() == 1u);
+        RC_ASSERT(now <= start + 500ms || run.ends.size() == 1u);
+        const auto &end = run.ends.front();
+        const bool mayHaveRun =
+            std::any_of(ran.begin(), ran.end(), [](const auto &it) { return it.second > 0; });
+        if (end.end == CallEnd::NotRun)
+            RC_ASSERT(!mayHaveRun);
+        if (end.end == CallEnd::Merged) {
+            const double share =
+                static_cast<double>(end.parts.size()) / static_cast<double>(route.shards.size());
+            RC_ASSERT(share >= route.leastShare - 1e-9);
+            RC_ASSERT(std::set<std::size_t>(end.parts.begin(), end.parts.end()) == succeeded);
+        }
+        // Extra attempts come out of the budget.
+        std::size_t parts = fansOut ? route.shards.size() : 1;
+        RC_ASSERT(run.sends.size() <= parts + static_cast<std::size_t>(world.spent));
+    });
+}
--- /dev/null
+++ b/tests/unit/mirror_test.cpp
@@ -0,0 +1,164 @@
+#include "policy/mirror/mirror.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace goldcrestline;
+using namespace goldcrestline::policy::mirror;
+using namespace std::chrono_literals;
+using core::TimePoint;
+
+namespace {
+
+const TimePoint start = TimePoint{} + 1h;
+
+Mirror makeMirror()
+{
+    return {{}, [] { return 1.0; }};
+}
+
+// Lists one page with the names.
+void listAll(Mirror &mirror, const std::vector<std::string> &names, std::uint64_t revision,
+             TimePoint now)
+{
+    const auto step = mirror.next(now);
+    REQUIRE(step);
+    REQUIRE(std::holds_alternative<ListStep>(*step));
+    mirror.onPage(names, false, revision, now);
+}
+
+} // namespace
+
+TEST_CASE("a copy is listed page by page and then watched from the first page's revision")
+{
+    auto mirror = makeMirror();
+    auto step = mirror.next(start);
+    REQUIRE(std::get<ListStep>(*step).after.empty());
+    CHECK_FALSE(mirror.next(start));
+    mirror.onPage({"a", "b"}, true, 10, start);
+    CHECK_FALSE(mirror.complete());
+    step = mirror.next(start);
+    CHECK(std::get<ListStep>(*step).after == "b");
+    mirror.onPage({"c"}, false, 12, start);
+    CHECK(mirror.complete());
+    step = mirror.next(start);
+    CHECK(std::get<WatchStep>(*step).revision == 10);
+}
+
+TEST_CASE("an object that is deleted while the store is healthy is gone at once")
+{
+    auto mirror = makeMirror();
+    listAll(mirror, {"a", "b"}, 1, start);
+    mirror.next(start);
+    mirror.onChange("a", true, start + 1s);
+    mirror.onWatched(2, true, start + 1s);
+    CHECK(mirror.takeRemovals(start + 1s) == std::vector<std::string>{"a"});
+    CHECK(mirror.takeRemovals(start + 9s).empty());
+}
+
+TEST_CASE("objects that vanish over an outage are kept until they had time to return")
+{
+    auto mirror = makeMirror();
+    listAll(mirror, {"a", "b"}, 1, start);
+    mirror.next(start);
+    mirror.onFailure(std::nullopt, start + 1s);
+    CHECK(mirror.failing());
+    const auto back = start + 5s;
+    mirror.next(back);
+    mirror.onChange("a", true, back);
+    mirror.onChange("b", true, back);
+    mirror.onWatched(5, true, back);
+    CHECK(mirror.takeRemovals(back + 2400ms).empty());
+    mirror.next(back + 1s);
+    mirror.onChange("b", false, back + 1s);
+    mirror.onWatched(6, true, back + 1s);
+    CHECK(mirror.takeRemovals(back + 2500ms) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("lost history means a new list, and what is missing on it is gone")
+{
+    auto mirror = makeMirror();
+    listAll(mirror, {"a", "b"}, 1, start);
+    mirror.next(start);
+    mirror.onHistoryGone(start + 1s);
+    listAll(mirror, {"b", "c"}, 9, start + 1s);
+    CHECK(mirror.takeRemovals(start + 1s) == std::vector<std::string>{"a"});
+    CHECK(std::get<WatchStep>(*mirror.next(start + 1s)).revision == 9);
+}
+
+TEST_CASE("failed calls are repeated after growing pauses that stay bounded")
+{
+    auto mirror = makeMirror();
+    auto now = start;
+    core::Duration last{};
+    for (int i = 0; i < 12; ++i) {
+        REQUIRE(mirror.next(now));
+        mirror.onFailure(std::nullopt, now);
+        auto later = now;
+        while (!mirror.next(later))
+            later += 10ms;
+        mirror.onBehind(later);
+        const auto pause = later - now;
+        CHECK(pause >= last);
+        CHECK(pause <= MirrorTimes{}.longestPause);
+        last = pause;
+        now = later;
+    }
+}
+
+TEST_CASE("a copy converges to the store whatever fails on the way")
+{
+    rc::prop("converges", [](const std::vector<unsigned char> &events) {
+        auto mirror = makeMirror();
+        std::set<std::string> store{"a", "b", "c"};
+        std::set<std::string> copy;
+        std::vector<std::pair<std::string, bool>> history;
+        auto now = start;
+        const auto settle = [&] {
+            for (const auto &it : mirror.takeRemovals(now))
+                copy.erase(it);
+        };
+        const auto answer = [&](const Step &step) {
+            if (std::holds_alternative<ListStep>(step)) {
+                copy.insert(store.begin(), store.end());
+                return mirror.onPage({store.begin(), store.end()}, false, history.size(), now);
+            }
+            const auto from = std::get<WatchStep>(step).revision;
+            for (std::size_t i = from; i < history.size(); ++i) {
+                mirror.onChange(history[i].first, !history[i].second, now);
+                if (history[i].second)
+                    copy.insert(history[i].first);
+            }
+            mirror.onWatched(history.size(), from < history.size(), now);
+        };
+        for (const auto event : events) {
+            now += std::chrono::milliseconds(50 * (event % 7));
+            const std::string name(1, static_cast<char>('a' + event % 5));
+            const bool add = event % 2 == 0;
+            if ((store.count(name) != 0) != add) {
+                add ? (void)store.insert(name) : (void)store.erase(name);
+                history.emplace_back(name, add);
+            }
+            const auto step = mirror.next(now);
+            if (!step)
+                continue;
+            if (event % 11 == 0)
+                mirror.onFailure(std::nullopt, now);
+            else if (event % 13 == 0 && std::holds_alternative<WatchStep>(*step))
+                mirror.onHistoryGone(now);
+            else
+                answer(*step);
+            settle();
+        }
+        for (int i = 0; i < 5; ++i) {
+            now += 3s;
+            if (const auto step = mirror.next(now))
+                answer(*step);
+            settle();
+        }
+        now += 3s;
+        settle();
+        RC_ASSERT(copy == store);
+    });
+}
