--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -277,14 +277,17 @@
         for (const auto &it : response) {
             result.headers.push_back({std::string(it.name_string()), std::string(it.value())});
         }
+        const auto &accept = connection->request.accept;
+        if (accept && !accept(result.status, result.headers))
+            return end(connection, ExchangeEnd::Broken);
         result.closing = !response.keep_alive();
         result.body = std::move(response.body());
         const auto now = core::Clock::now();
         auto done = std::move(connection->done);
         byId.erase(connection->exchange);
         connection->parser.reset();
-        const bool keep =
-            !unfit && !connection->suspect && !result.closing && connection->unsent.empty();
+        const bool keep = !unfit && !connection->suspect && !result.closing
+            && !connection->request.freshConnection && connection->unsent.empty();
         if (keep) {
             connection->state = Connection::State::Idle;
             connection->since = now;
@@ -347,7 +350,7 @@
                                 TimePoint now, Done done)
 {
     const auto id = ++m_impl->lastId;
-    auto connection = m_impl->takeIdle(address, now);
+    auto connection = request.freshConnection ? nullptr : m_impl->takeIdle(address, now);
     const bool reused = connection != nullptr;
     if (!reused)
         connection = std::make_shared<Connection>(m_impl->io);
@@ -377,15 +380,18 @@
 
 void ExchangeClient::tick(TimePoint now)
 {
-    std::vector<ConnectionPtr> late;
+    std::vector<std::pair<ConnectionPtr, ExchangeEnd>> late;
     for (const auto &it : m_impl->byId) {
         const auto &connection = it.second;
-        if (connection->state == Connection::State::Connecting
-            && now - connection->since > m_impl->options.connectTime)
-            late.push_back(connection);
+        const bool connecting = connection->state == Connection::State::Connecting;
+        if (now >= connection->request.giveUpAt)
+            late.emplace_back(connection,
+                              connecting ? ExchangeEnd::NotReached : ExchangeEnd::TimedOut);
+        else if (connecting && now - connection->since > m_impl->options.connectTime)
+            late.emplace_back(connection, ExchangeEnd::NotReached);
     }
     for (const auto &it : late)
-        m_impl->end(it, ExchangeEnd::NotReached);
+        m_impl->end(it.first, it.second);
     std::vector<ConnectionPtr> stale;
     for (const auto &it : m_impl->pool) {
         for (const auto &connection : it.second) {
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -41,7 +41,8 @@
     // Gives an exchange up and closes its connection; `done` is not called.
     void abort(ports::ExchangeId id);
 
-    // Ends connections that take too long to open or were idle too long. Call about every 100 ms.
+    // Ends exchanges that take too long and connections that take too long to open or were idle too
+    // long. Call about every 20 ms.
     void tick(core::TimePoint now);
 
     // Closes all idle connections to an address.
--- a/packages/adapters/curl/http_server_channel.cpp
+++ b/packages/adapters/loop/loop_server_channel.cpp
@@ -1,12 +1,13 @@
-#include "adapters/curl/http_server_channel.h"
+#include "adapters/loop/loop_server_channel.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace goldcrestline::adapters::curl {
+namespace goldcrestline::adapters::loop {
 
 using policy::routing::AttemptEnd;
-using Headers = std::map<std::string, std::string>;
+using ports::ExchangeEnd;
+using ports::Headers;
 
 namespace {
 
@@ -19,8 +20,8 @@
 
 std::string textOf(const Headers &headers, const char *name)
 {
-    const auto it = headers.find(name);
-    return it == headers.end() ? std::string() : it->second;
+    const auto *value = ports::findHeader(headers, name);
+    return value == nullptr ? std::string() : *value;
 }
 
 template <typename Number>
@@ -52,16 +53,16 @@
     return out;
 }
 
-AttemptEnd endOf(const TransferResult &result)
+AttemptEnd endOf(const ports::ExchangeResult &result)
 {
     switch (result.end) {
-    case TransferEnd::NotReached:
+    case ExchangeEnd::NotReached:
         return AttemptEnd::NotReached;
-    case TransferEnd::TimedOut:
+    case ExchangeEnd::TimedOut:
         return AttemptEnd::Silent;
-    case TransferEnd::Broken:
+    case ExchangeEnd::Broken:
         return AttemptEnd::Broken;
-    case TransferEnd::Answered:
+    case ExchangeEnd::Answered:
         break;
     }
     const auto refusal = textOf(result.headers, "x-refusal");
@@ -76,12 +77,12 @@
     return AttemptEnd::Broken;
 }
 
-ports::ServerResult readResult(TransferResult from)
+ports::ServerResult readResult(const ports::ExchangeResult &from)
 {
     ports::ServerResult to;
     to.end = endOf(from);
     to.snapshotMissing = from.status == statusConflict;
-    to.sent = from.sent;
+    to.sent = from.end != ExchangeEnd::NotReached;
     to.status = from.status;
     to.queryId = textOf(from.headers, "x-query-id");
     to.group = numberOf(from.headers, "x-group", -1);
@@ -91,7 +92,7 @@
     to.holds = snapshotsOf(textOf(from.headers, "x-holds"));
     to.load = numberOf(from.headers, "x-load", -1);
     to.slots = numberOf(from.headers, "x-slots", 1);
-    to.body = std::move(from.body);
+    to.body = from.body;
     return to;
 }
 
@@ -101,90 +102,98 @@
     return std::max(core::Millis(1), left);
 }
 
+// Makes a request from its lines.
+ports::ExchangeRequest makeRequest(const std::string &line, const std::string &headers,
+                                   std::shared_ptr<const std::string> body)
+{
+    ports::ExchangeRequest request;
+    std::string text = line + " HTTP/1.1\r\nHost: server\r\n" + headers;
+    if (body)
+        text += "Content-Length: " + std::to_string(body->size()) + "\r\n";
+    request.commonHead = std::make_shared<const std::string>(std::move(text));
+    request.body = std::move(body);
+    return request;
+}
+
 } // namespace
 
-HttpServerChannel::HttpServerChannel(HttpClient &client, ChannelLimits limits)
+LoopServerChannel::LoopServerChannel(ExchangeClient &client, ChannelLimits limits)
     : m_client(client), m_limits(std::move(limits))
 { }
 
-ports::CallId HttpServerChannel::search(ports::SearchCall call, ports::ServerHandler done)
+ports::CallId LoopServerChannel::begin(const std::string &serverId, const std::string &address,
+                                       ports::ExchangeRequest request, ports::ServerHandler done)
 {
     const auto id = ++m_lastCall;
+    auto &state = m_calls[id];
+    state.serverId = serverId;
+    state.address = address;
+    state.done = std::move(done);
+    ++m_servers[serverId].open;
+    state.exchange =
+        m_client.send(address, std::move(request), core::Clock::now(),
+                      [this, id](const ports::ExchangeResult &result) { onEnd(id, result); });
+    return id;
+}
+
+ports::CallId LoopServerChannel::search(ports::SearchCall call, ports::ServerHandler done)
+{
     const auto left = timeLeft(call.deadline);
-    Transfer transfer;
-    transfer.method = "POST";
-    transfer.url = "http://" + call.address + "/search";
-    transfer.headers = {"X-Query-Id: " + call.queryId,
-                        "X-Group: " + std::to_string(call.group),
-                        "X-Index-Version: " + std::to_string(call.snapshot.indexVersion),
-                        "X-Shard-Map: " + std::to_string(call.snapshot.shardMap),
-                        "X-Deadline-Ms: " + std::to_string(left.count()),
-                        "X-Caller-Zone: " + m_limits.zone};
-    transfer.body = std::move(call.body);
+    const auto headers = "X-Query-Id: " + call.queryId
+        + "\r\nX-Group: " + std::to_string(call.group)
+        + "\r\nX-Index-Version: " + std::to_string(call.snapshot.indexVersion)
+        + "\r\nX-Shard-Map: " + std::to_string(call.snapshot.shardMap) + "\r\nX-Deadline-Ms: "
+        + std::to_string(left.count()) + "\r\nX-Caller-Zone: " + m_limits.zone + "\r\n";
+    auto request = makeRequest("POST /search", headers, std::move(call.body));
     // A call outlives the query by the grace in which a cancelled one is answered.
-    transfer.timeout = left + 2 * m_limits.cancelGrace;
-    transfer.idleLimit = m_limits.idleConnection;
-    transfer.accept = [queryId = call.queryId, group = call.group,
-                       snapshot = call.snapshot](int status, const Headers &headers) {
-        if (textOf(headers, "x-query-id") != queryId)
+    request.giveUpAt = core::Clock::now() + left + 2 * m_limits.cancelGrace;
+    request.accept = [queryId = call.queryId, group = call.group,
+                      snapshot = call.snapshot](int status, const Headers &answer) {
+        if (textOf(answer, "x-query-id") != queryId)
             return false;
         if (status != statusOk)
             return true;
-        return numberOf(headers, "x-group", -1) == group
-            && numberOf(headers, "x-index-version", std::uint64_t{0}) == snapshot.indexVersion
-            && numberOf(headers, "x-shard-map", std::uint32_t{0}) == snapshot.shardMap;
+        return numberOf(answer, "x-group", -1) == group
+            && numberOf(answer, "x-index-version", std::uint64_t{0}) == snapshot.indexVersion
+            && numberOf(answer, "x-shard-map", std::uint32_t{0}) == snapshot.shardMap;
     };
+    const auto id = begin(call.serverId, call.address, std::move(request), std::move(done));
     auto &state = m_calls[id];
-    state.serverId = call.serverId;
-    state.address = call.address;
     state.queryId = call.queryId;
     state.group = call.group;
-    state.done = std::move(done);
-    ++m_servers[call.serverId].open;
-    state.transfer = m_client.start(
-        std::move(transfer), [this, id](TransferResult result) { onEnd(id, std::move(result)); });
     return id;
 }
 
-ports::CallId HttpServerChannel::execute(ports::ExecuteCall call, ports::ServerHandler done)
+ports::CallId LoopServerChannel::execute(ports::ExecuteCall call, ports::ServerHandler done)
 {
-    const auto id = ++m_lastCall;
-    Transfer transfer;
-    transfer.method = "POST";
-    transfer.url = "http://" + call.address + "/execute";
-    transfer.headers = {"X-Key: " + call.key,
-                        "X-Deadline-Ms: " + std::to_string(timeLeft(call.deadline).count()),
-                        "X-Caller-Zone: " + m_limits.zone};
-    transfer.body = std::make_shared<const std::string>(std::move(call.body));
-    transfer.timeout = timeLeft(call.deadline);
-    transfer.ownConnection = true;
-    auto &state = m_calls[id];
-    state.serverId = call.serverId;
-    state.address = call.address;
-    state.done = std::move(done);
-    ++m_servers[call.serverId].open;
-    state.transfer = m_client.start(
-        std::move(transfer), [this, id](TransferResult result) { onEnd(id, std::move(result)); });
-    return id;
+    const auto left = timeLeft(call.deadline);
+    const auto headers = "X-Key: " + call.key + "\r\nX-Deadline-Ms: " + std::to_string(left.count())
+        + "\r\nX-Caller-Zone: " + m_limits.zone + "\r\n";
+    auto request = makeRequest("POST /execute", headers,
+                               std::make_shared<const std::string>(std::move(call.body)));
+    request.giveUpAt = core::Clock::now() + left;
+    // A kept connection that the server just closed would leave the outcome unknown.
+    request.freshConnection = true;
+    return begin(call.serverId, call.address, std::move(request), std::move(done));
 }
 
-void HttpServerChannel::onEnd(ports::CallId id, TransferResult result)
+void LoopServerChannel::onEnd(ports::CallId id, const ports::ExchangeResult &result)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
     const auto call = std::move(it->second);
     m_calls.erase(it);
-    if (result.end == TransferEnd::TimedOut)
+    if (result.end == ExchangeEnd::TimedOut)
         ++m_silent;
     release(call.serverId, call.address);
-    auto answer = readResult(std::move(result));
+    auto answer = readResult(result);
     if (call.cancelled && answer.end == AttemptEnd::Answered)
         answer.end = AttemptEnd::Cancelled;
     call.done(std::move(answer));
 }
 
-void HttpServerChannel::cancel(ports::CallId id)
+void LoopServerChannel::cancel(ports::CallId id)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end() || it->second.cancelled)
@@ -202,23 +211,20 @@
     }
 }
 
-void HttpServerChannel::sendCancel(const std::string &serverId, const std::string &address,
+void LoopServerChannel::sendCancel(const std::string &serverId, const std::string &address,
                                    const std::string &queryId)
 {
-    Transfer transfer;
-    transfer.method = "POST";
-    transfer.url = "http://" + address + "/cancel";
-    transfer.headers = {"X-Query-Id: " + queryId, "X-Caller-Zone: " + m_limits.zone};
-    transfer.body = std::make_shared<const std::string>();
-    transfer.timeout = controlTimeout;
-    transfer.idleLimit = m_limits.idleConnection;
+    auto request = makeRequest(
+        "POST /cancel", "X-Query-Id: " + queryId + "\r\nX-Caller-Zone: " + m_limits.zone + "\r\n",
+        std::make_shared<const std::string>());
+    request.giveUpAt = core::Clock::now() + controlTimeout;
     ++m_servers[serverId].open;
-    m_client.start(std::move(transfer), [this, serverId, address](const TransferResult &) {
-        release(serverId, address);
-    });
+    m_client.send(
+        address, std::move(request), core::Clock::now(),
+        [this, serverId, address](const ports::ExchangeResult &) { release(serverId, address); });
 }
 
-void HttpServerChannel::release(const std::string &serverId, const std::string &address)
+void LoopServerChannel::release(const std::string &serverId, const std::string &address)
 {
     auto &server = m_servers[serverId];
     --server.open;
@@ -229,35 +235,37 @@
     sendCancel(serverId, address, queryId);
 }
 
-void HttpServerChannel::poll(const std::string &serverId, const std::string &address,
+void LoopServerChannel::poll(const std::string &serverId, const std::string &address,
                              ports::ServerHandler done)
 {
     // A poll must not take a connection that a query needs.
     auto &server = m_servers[serverId];
     if (server.open >= std::max(1, m_limits.connectionShare(serverId)))
         return;
-    Transfer transfer;
-    transfer.url = "http://" + address + "/load";
-    transfer.headers = {"X-Caller-Zone: " + m_limits.zone};
-    transfer.timeout = controlTimeout;
-    transfer.idleLimit = m_limits.idleConnection;
+    auto request = makeRequest("GET /load", "X-Caller-Zone: " + m_limits.zone + "\r\n", nullptr);
+    request.giveUpAt = core::Clock::now() + controlTimeout;
     ++server.open;
-    m_client.start(std::move(transfer),
-                   [this, serverId, address, done = std::move(done)](TransferResult result) {
-                       release(serverId, address);
-                       done(readResult(std::move(result)));
-                   });
+    m_client.send(
+        address, std::move(request), core::Clock::now(),
+        [this, serverId, address, done = std::move(done)](const ports::ExchangeResult &result) {
+            release(serverId, address);
+            done(readResult(result));
+        });
 }
 
-void HttpServerChannel::tick(core::TimePoint now)
+void LoopServerChannel::tick(core::TimePoint now)
 {
-    std::vector<TransferId> silent;
+    std::vector<ports::CallId> silent;
     for (const auto &it : m_calls) {
         if (now >= it.second.closeAt)
-            silent.push_back(it.second.transfer);
+            silent.push_back(it.first);
+    }
+    for (const auto id : silent) {
+        m_client.abort(m_calls.at(id).exchange);
+        ports::ExchangeResult result;
+        result.end = ExchangeEnd::TimedOut;
+        onEnd(id, result);
     }
-    for (const auto it : silent)
-        m_client.close(it);
 }
 
-} // namespace goldcrestline::adapters::curl
+} // namespace goldcrestline::adapters::loop
--- a/packages/adapters/curl/http_server_channel.h
+++ b/packages/adapters/loop/loop_server_channel.h
@@ -1,31 +1,30 @@
 #pragma once
 
-#include "adapters/curl/http_client.h"
+#include "adapters/loop/exchange_client.h"
 #include "ports/server_channel.h"
 
 #include <deque>
 #include <unordered_map>
 
-namespace goldcrestline::adapters::curl {
+namespace goldcrestline::adapters::loop {
 
 // Limits of the channel to the servers.
 struct ChannelLimits
 {
     // Time for a cancelled call to be answered before its connection is closed.
     core::Millis cancelGrace{250};
-    core::Millis idleConnection{20000};
     // Zone of this host, told to servers.
     std::string zone;
     // Connections that this host may open to a server, by server id.
     std::function<int(const std::string &serverId)> connectionShare;
 };
 
-// Backend servers over HTTP. Owned by one task.
-class HttpServerChannel : public ports::ServerChannel
+// Backend servers over HTTP. Not thread-safe: lives on the loop.
+class LoopServerChannel : public ports::ServerChannel
 {
 public:
     // Precondition: `client` outlives this.
-    HttpServerChannel(HttpClient &client, ChannelLimits limits);
+    LoopServerChannel(ExchangeClient &client, ChannelLimits limits);
 
     ports::CallId search(ports::SearchCall call, ports::ServerHandler done) override;
     ports::CallId execute(ports::ExecuteCall call, ports::ServerHandler done) override;
@@ -42,7 +41,7 @@
 private:
     struct Call
     {
-        TransferId transfer = 0;
+        ports::ExchangeId exchange = 0;
         std::string serverId;
         std::string address;
         std::string queryId;
@@ -57,12 +56,15 @@
         std::deque<std::string> waitingCancels;
     };
 
-    void onEnd(ports::CallId id, TransferResult result);
+    void onEnd(ports::CallId id, const ports::ExchangeResult &result);
+    // Sends a request that counts as an open connection of its server.
+    ports::CallId begin(const std::string &serverId, const std::string &address,
+                        ports::ExchangeRequest request, ports::ServerHandler done);
     void sendCancel(const std::string &serverId, const std::string &address,
                     const std::string &queryId);
     void release(const std::string &serverId, const std::string &address);
 
-    HttpClient &m_client;
+    ExchangeClient &m_client;
     ChannelLimits m_limits;
     std::unordered_map<ports::CallId, Call> m_calls;
     std::unordered_map<std::string, Server> m_servers;
@@ -70,4 +72,4 @@
     std::uint64_t m_silent = 0;
 };
 
-} // namespace goldcrestline::adapters::curl
+} // namespace goldcrestline::adapters::loop
--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -1,5 +1,11 @@
 #include "adapters/peers/codec.h"
 
+#include "adapters/peers/generated/peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+
 namespace goldcrestline::adapters::peers {
 
 using policy::membership::Member;
@@ -7,6 +13,21 @@
 
 namespace {
 
+capnp::Data::Reader asData(const std::string &text)
+{
+    return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
+}
+
+std::string asString(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+std::string asString(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
 void writeMember(const Member &from, wire::Member::Builder to)
 {
     to.setName(from.name);
@@ -41,23 +62,6 @@
     return member;
 }
 
-} // namespace
-
-capnp::Data::Reader asData(const std::string &text)
-{
-    return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
-}
-
-std::string asString(capnp::Data::Reader data)
-{
-    return {reinterpret_cast<const char *>(data.begin()), data.size()};
-}
-
-std::string asString(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
 void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to)
 {
     to.setFrom(from.from);
@@ -123,4 +127,189 @@
             policy::once::EntryState::Ended, readOutcome(from.getOutcome()), from.getExpiresAt()};
 }
 
+void writeContent(const ports::Gossip &from, wire::Message::Builder to)
+{
+    writeGossip(from, to.initExchange());
+}
+
+void writeContent(const ports::ProbeRequest &from, wire::Message::Builder to)
+{
+    auto probe = to.initProbe();
+    probe.setName(from.name);
+    probe.setAddress(from.address);
+}
+
+void writeContent(const ports::FetchRequest &from, wire::Message::Builder to)
+{
+    to.setFetch(static_cast<std::uint8_t>(from.kind));
+}
+
+void writeContent(const ports::RunRequest &from, wire::Message::Builder to)
+{
+    auto run = to.initRun();
+    run.setCustomer(from.customer);
+    run.setService(from.service);
+    run.setKey(from.key);
+    run.setBody(asData(from.body));
+    run.setTimeLeftMs(from.timeLeft.count());
+}
+
+void writeContent(const ports::BorrowRequest &from, wire::Message::Builder to)
+{
+    auto borrow = to.initBorrow();
+    borrow.setPlan(from.plan);
+    borrow.setWanted(from.wanted);
+}
+
+void writeContent(const ports::AdoptRequest &from, wire::Message::Builder to)
+{
+    auto adopt = to.initAdopt();
+    adopt.setHost(from.host);
+    adopt.setIncarnation(from.incarnation);
+    adopt.setSecret(from.secret);
+    adopt.setLatest(from.latest);
+    auto entries = adopt.initEntries(static_cast<unsigned>(from.entries.size()));
+    for (unsigned i = 0; i < entries.size(); ++i)
+        writeEntry(from.entries[i], entries[i]);
+}
+
+void writeAnswer(const ports::Gossip &from, wire::Message::Builder to)
+{
+    writeGossip(from, to.initExchanged());
+}
+
+void writeAnswer(const ports::ProbeAnswer &from, wire::Message::Builder to)
+{
+    to.setProbed(from.reached);
+}
+
+void writeAnswer(const ports::FetchAnswer &from, wire::Message::Builder to)
+{
+    auto fetched = to.initFetched();
+    fetched.setKind(static_cast<std::uint8_t>(from.kind));
+    fetched.setRevision(from.revision);
+    fetched.setText(asData(from.text));
+}
+
+void writeAnswer(const ports::RunAnswer &from, wire::Message::Builder to)
+{
+    writeOutcome(from.outcome, to.initRan());
+}
+
+void writeAnswer(const ports::BorrowAnswer &from, wire::Message::Builder to)
+{
+    to.setBorrowed(from.tokens);
+}
+
+void writeAnswer(const ports::AdoptAnswer &from, wire::Message::Builder to)
+{
+    to.setAdopted(from.adopted);
+}
+
+ports::DocumentKind kindOf(std::uint8_t number)
+{
+    return number == 0 ? ports::DocumentKind::Lists : ports::DocumentKind::Fleet;
+}
+
+ports::RunRequest readRun(wire::Message::Run::Reader from)
+{
+    return {asString(from.getCustomer()), asString(from.getService()), asString(from.getKey()),
+            asString(from.getBody()), core::Millis(from.getTimeLeftMs())};
+}
+
+ports::AdoptRequest readAdopt(wire::Message::Adopt::Reader from)
+{
+    ports::AdoptRequest request{asString(from.getHost()),
+                                from.getIncarnation(),
+                                asString(from.getSecret()),
+                                {},
+                                from.getLatest()};
+    for (const auto it : from.getEntries())
+        request.entries.push_back(readEntry(it));
+    return request;
+}
+
+using Content = std::variant<ports::PeerRequest, ports::PeerAnswer>;
+
+Content readContent(wire::Message::Reader from)
+{
+    using ports::PeerAnswer;
+    using ports::PeerRequest;
+    switch (from.which()) {
+    case wire::Message::EXCHANGE:
+        return PeerRequest(readGossip(from.getExchange()));
+    case wire::Message::EXCHANGED:
+        return PeerAnswer(readGossip(from.getExchanged()));
+    case wire::Message::PROBE:
+        return PeerRequest(ports::ProbeRequest{asString(from.getProbe().getName()),
+                                               asString(from.getProbe().getAddress())});
+    case wire::Message::PROBED:
+        return PeerAnswer(ports::ProbeAnswer{from.getProbed()});
+    case wire::Message::FETCH:
+        return PeerRequest(ports::FetchRequest{kindOf(from.getFetch())});
+    case wire::Message::FETCHED:
+        return PeerAnswer(ports::FetchAnswer{kindOf(from.getFetched().getKind()),
+                                             from.getFetched().getRevision(),
+                                             asString(from.getFetched().getText())});
+    case wire::Message::RUN:
+        return PeerRequest(readRun(from.getRun()));
+    case wire::Message::RAN:
+        return PeerAnswer(ports::RunAnswer{readOutcome(from.getRan())});
+    case wire::Message::BORROW:
+        return PeerRequest(ports::BorrowRequest{asString(from.getBorrow().getPlan()),
+                                                from.getBorrow().getWanted()});
+    case wire::Message::BORROWED:
+        return PeerAnswer(ports::BorrowAnswer{from.getBorrowed()});
+    case wire::Message::ADOPT:
+        return PeerRequest(readAdopt(from.getAdopt()));
+    case wire::Message::ADOPTED:
+        return PeerAnswer(ports::AdoptAnswer{from.getAdopted()});
+    }
+    KJ_FAIL_REQUIRE("unknown message");
+}
+
+std::string toBytes(capnp::MessageBuilder &message)
+{
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+} // namespace
+
+std::string encode(std::uint64_t id, const ports::PeerRequest &request)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Message>();
+    root.setId(id);
+    std::visit([&](const auto &it) { writeContent(it, root); }, request);
+    return toBytes(message);
+}
+
+std::string encode(std::uint64_t id, const ports::PeerAnswer &answer)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Message>();
+    root.setId(id);
+    std::visit([&](const auto &it) { writeAnswer(it, root); }, answer);
+    return toBytes(message);
+}
+
+std::optional<DecodedMessage> decode(std::string_view bytes)
+{
+    // The bytes may be unaligned.
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), bytes.data(), words.asBytes().size());
+    try {
+        capnp::ReaderOptions options;
+        // A handed over ledger may exceed the library's default.
+        options.traversalLimitInWords = std::max<std::uint64_t>(1024, 4 * words.size());
+        capnp::FlatArrayMessageReader message(words, options);
+        const auto root = message.getRoot<wire::Message>();
+        return DecodedMessage{root.getId(), readContent(root)};
+    } catch (const kj::Exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace goldcrestline::adapters::peers
--- a/packages/adapters/peers/codec.h
+++ b/packages/adapters/peers/codec.h
@@ -1,25 +1,27 @@
 #pragma once
 
-#include "adapters/peers/generated/peer.capnp.h"
 #include "ports/peer_link.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
+#include <variant>
 
-// Conversion between the port's messages and Cap'n Proto structs. Pure and thread-safe.
+// Messages between hosts as Cap'n Proto bytes. Pure and thread-safe.
 namespace goldcrestline::adapters::peers {
 
-void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to);
-ports::Gossip readGossip(wire::Gossip::Reader from);
+// `id` names the question in its answer.
+std::string encode(std::uint64_t id, const ports::PeerRequest &request);
+std::string encode(std::uint64_t id, const ports::PeerAnswer &answer);
 
-void writeOutcome(const policy::once::Outcome &from, wire::Outcome::Builder to);
-policy::once::Outcome readOutcome(wire::Outcome::Reader from);
+struct DecodedMessage
+{
+    std::uint64_t id = 0;
+    std::variant<ports::PeerRequest, ports::PeerAnswer> content;
+};
 
-void writeEntry(const policy::once::Entry &from, wire::LedgerEntry::Builder to);
-policy::once::Entry readEntry(wire::LedgerEntry::Reader from);
-
-capnp::Data::Reader asData(const std::string &text);
-std::string asString(capnp::Data::Reader data);
-std::string asString(capnp::Text::Reader text);
+// Nothing if the bytes are no message of this protocol.
+std::optional<DecodedMessage> decode(std::string_view bytes);
 
 } // namespace goldcrestline::adapters::peers
--- /dev/null
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -0,0 +1,230 @@
+#include "adapters/peers/loop_peer_link.h"
+
+#include "adapters/logging/log.h"
+#include "adapters/loop/endpoint.h"
+#include "adapters/peers/codec.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <stdexcept>
+
+namespace goldcrestline::adapters::peers {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+using core::TimePoint;
+using ports::PeerEnd;
+
+namespace {
+
+constexpr logging::LogChannel log("peers:");
+
+// Largest datagram that is taken.
+constexpr std::size_t datagramBytes = 60 * 1024;
+// Members up to which whole tables travel as datagrams; a record takes about 150 bytes.
+constexpr std::size_t datagramMembers = 100;
+// Largest message over HTTP: a ledger of some hundred thousand keys.
+constexpr std::uint64_t messageBytes = 64 << 20;
+constexpr int statusBadMessage = 400;
+
+bool travelsAsDatagram(const ports::PeerRequest &request)
+{
+    if (const auto *gossip = std::get_if<ports::Gossip>(&request))
+        return !gossip->wholeTable || gossip->members.size() <= datagramMembers;
+    return std::holds_alternative<ports::ProbeRequest>(request);
+}
+
+loop::FrontLimits frontLimits()
+{
+    loop::FrontLimits limits;
+    limits.bodyBytes = messageBytes;
+    return limits;
+}
+
+} // namespace
+
+struct LoopPeerLink::Impl
+{
+    struct Pending
+    {
+        TimePoint until;
+        ports::PeerHandler done;
+    };
+
+    Impl(asio::io_context &io, const std::string &address,
+         std::function<void(ports::PeerCall)> onCall)
+        : socket(io), client(io, {}), onCall(std::move(onCall)),
+          server(io, address, frontLimits(),
+                 {[this](loop::FrontCall call, TimePoint) { serve(std::move(call)); },
+                  [](std::uint64_t, TimePoint) {},
+                  [](int status, const std::string &why) {
+                      return ports::Outgoing{status, {}, why};
+                  }})
+    { }
+
+    void bind(const std::string &address)
+    {
+        const auto endpoint = loop::parseEndpoint<udp>(address);
+        if (!endpoint)
+            throw std::runtime_error("not an address: " + address);
+        socket.open(endpoint->protocol());
+        socket.bind(*endpoint);
+        socket.non_blocking(true);
+        receive();
+    }
+
+    void receive()
+    {
+        socket.async_wait(udp::socket::wait_read, [this](error_code ec) {
+            if (ec)
+                return;
+            drain();
+            receive();
+        });
+    }
+
+    void drain()
+    {
+        static std::array<char, datagramBytes> buf;
+        for (;;) {
+            udp::endpoint from;
+            error_code ec;
+            const auto n = socket.receive_from(asio::buffer(buf), from, 0, ec);
+            // A refused earlier datagram shows here; others may wait behind it.
+            if (ec == asio::error::connection_refused)
+                continue;
+            if (ec)
+                return;
+            take({buf.data(), n}, from);
+        }
+    }
+
+    void take(std::string_view bytes, const udp::endpoint &from)
+    {
+        auto message = decode(bytes);
+        if (!message) {
+            log.warning("unreadable datagram bytes=" + std::to_string(bytes.size()));
+            return;
+        }
+        if (auto *answer = std::get_if<ports::PeerAnswer>(&message->content))
+            return end(message->id, std::move(*answer));
+        ports::PeerCall call;
+        call.request = std::move(std::get<ports::PeerRequest>(message->content));
+        call.reply = [this, id = message->id, from](const ports::PeerAnswer &answer) {
+            send(encode(id, answer), from);
+        };
+        onCall(std::move(call));
+    }
+
+    void send(const std::string &bytes, const udp::endpoint &to)
+    {
+        error_code ec;
+        // A datagram that cannot be sent is as good as lost: its call ends by time.
+        socket.send_to(asio::buffer(bytes), to, 0, ec);
+    }
+
+    void end(std::uint64_t id, ports::PeerAnswer answer)
+    {
+        auto node = pending.extract(id);
+        if (!node.empty())
+            node.mapped().done({PeerEnd::Answered, std::move(answer)});
+    }
+
+    void serve(loop::FrontCall call)
+    {
+        auto message = decode(call.request.body);
+        if (!message || !std::holds_alternative<ports::PeerRequest>(message->content)) {
+            log.warning("unreadable message bytes=" + std::to_string(call.request.body.size()));
+            return call.respond({statusBadMessage, {}, "not a message between hosts"});
+        }
+        ports::PeerCall question;
+        question.request = std::move(std::get<ports::PeerRequest>(message->content));
+        question.reply = [respond = std::move(call.respond),
+                          id = message->id](const ports::PeerAnswer &answer) {
+            respond({200, {}, encode(id, answer)});
+        };
+        onCall(std::move(question));
+    }
+
+    void post(const std::string &address, std::uint64_t id, const ports::PeerRequest &request,
+              core::Millis timeout, ports::PeerHandler done)
+    {
+        const auto now = core::Clock::now();
+        ports::ExchangeRequest out;
+        out.body = std::make_shared<const std::string>(encode(id, request));
+        out.commonHead = std::make_shared<const std::string>(
+            "POST /peer HTTP/1.1\r\nHost: peer\r\nContent-Length: "
+            + std::to_string(out.body->size()) + "\r\n");
+        out.giveUpAt = now + timeout;
+        client.send(address, std::move(out), now,
+                    [done = std::move(done)](const ports::ExchangeResult &result) {
+                        done(readResult(result));
+                    });
+    }
+
+    static ports::PeerResult readResult(const ports::ExchangeResult &result)
+    {
+        if (result.end == ports::ExchangeEnd::NotReached)
+            return {PeerEnd::NotReached, {}};
+        if (result.end != ports::ExchangeEnd::Answered || result.status != 200)
+            return {PeerEnd::Lost, {}};
+        auto message = decode(result.body);
+        if (!message || !std::holds_alternative<ports::PeerAnswer>(message->content))
+            return {PeerEnd::Lost, {}};
+        return {PeerEnd::Answered, std::move(std::get<ports::PeerAnswer>(message->content))};
+    }
+
+    udp::socket socket;
+    loop::ExchangeClient client;
+    std::function<void(ports::PeerCall)> onCall;
+    loop::FrontServer server;
+    std::map<std::uint64_t, Pending> pending;
+    std::uint64_t lastId = 0;
+};
+
+LoopPeerLink::LoopPeerLink(asio::io_context &io, const std::string &address,
+                           std::function<void(ports::PeerCall)> onCall)
+    : m_impl(std::make_unique<Impl>(io, address, std::move(onCall)))
+{
+    m_impl->bind(address);
+}
+
+LoopPeerLink::~LoopPeerLink() = default;
+
+void LoopPeerLink::call(const std::string &address, ports::PeerRequest request,
+                        core::Millis timeout, ports::PeerHandler done)
+{
+    const auto id = ++m_impl->lastId;
+    if (!travelsAsDatagram(request))
+        return m_impl->post(address, id, request, timeout, std::move(done));
+    m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done)};
+    if (const auto to = loop::parseEndpoint<udp>(address))
+        m_impl->send(encode(id, request), *to);
+}
+
+void LoopPeerLink::tick(TimePoint now)
+{
+    m_impl->client.tick(now);
+    m_impl->server.tick(now);
+    std::vector<ports::PeerHandler> late;
+    for (auto it = m_impl->pending.begin(); it != m_impl->pending.end();) {
+        if (it->second.until > now) {
+            ++it;
+            continue;
+        }
+        late.push_back(std::move(it->second.done));
+        it = m_impl->pending.erase(it);
+    }
+    for (const auto &it : late)
+        it({PeerEnd::Lost, {}});
+}
+
+std::uint64_t LoopPeerLink::calls() const
+{
+    return m_impl->lastId;
+}
+
+} // namespace goldcrestline::adapters::peers
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -45,33 +45,50 @@
   expiresAt @3 :Int64;
 }
 
-# Calls between entry hosts.
-interface Peer {
-  # Exchanges news; also the liveness probe.
-  exchange @0 (message :Gossip) -> (reply :Gossip);
-  # Probes another host on behalf of the caller.
-  probe @1 (name :Text, address :Text) -> (reached :Bool);
-  # Returns a replicated document.
-  fetch @2 (kind :UInt8) -> (revision :UInt64, text :Data);
-  # Runs a request whose key this host decides on.
-  run @3 (customer :Text, service :Text, key :Text, body :Data, timeLeftMs :Int64) -> (outcome :Outcome);
-  # Lends tokens of a plan's limit.
-  borrow @4 (plan :Text, wanted :Int32) -> (tokens :Int32);
-  # Hands over a sealed ledger.
-  adopt @5 (host :Text, incarnation :UInt64, secret :Text, entries :List(LedgerEntry), latest :Int64) -> (adopted :Bool);
-}
-
-# One message of the membership protocol where it travels over UDP.
-struct Datagram {
+# One message between entry hosts: a question, or the answer to it.
+struct Message {
   # Names the question in its answer.
   id @0 :UInt64;
   union {
+    # Exchanges news; also the liveness probe.
     exchange @1 :Gossip;
     exchanged @2 :Gossip;
+    # Probes another host on behalf of the sender.
     probe :group {
       name @3 :Text;
       address @4 :Text;
     }
     probed @5 :Bool;
+    # Asks for a replicated document by its kind.
+    fetch @6 :UInt8;
+    fetched :group {
+      kind @7 :UInt8;
+      revision @8 :UInt64;
+      text @9 :Data;
+    }
+    # Runs a request whose key the receiver decides on.
+    run :group {
+      customer @10 :Text;
+      service @11 :Text;
+      key @12 :Text;
+      body @13 :Data;
+      timeLeftMs @14 :Int64;
+    }
+    ran @15 :Outcome;
+    # Borrows tokens of a plan's limit.
+    borrow :group {
+      plan @16 :Text;
+      wanted @17 :Int32;
+    }
+    borrowed @18 :Int32;
+    # Hands over a sealed ledger.
+    adopt :group {
+      host @19 :Text;
+      incarnation @20 :UInt64;
+      secret @21 :Text;
+      entries @22 :List(LedgerEntry);
+      latest @23 :Int64;
+    }
+    adopted @24 :Bool;
   }
 }
--- a/packages/cli/config_commands.cpp
+++ b/packages/cli/config_commands.cpp
@@ -1,8 +1,8 @@
+#include "cli/blocking_store.h"
 #include "cli/command.h"
 #include "cli/fleet_status.h"
 #include "cli/options.h"
 
-#include "adapters/curl/http_platform_store.h"
 #include "core/hash.h"
 #include "policy/config/change_writer.h"
 
@@ -13,58 +13,29 @@
 namespace goldcrestline::cli {
 
 using adapters::curl::HttpClient;
-using adapters::curl::HttpPlatformStore;
 using core::Error;
 using core::ResultCode;
 namespace config = policy::config;
 
 namespace {
 
-constexpr core::Millis platformTimeout{1000};
-constexpr core::Millis step{50};
 constexpr core::Millis pauseBetweenTries{100};
 constexpr const char *listsName = "config/lists";
 
-// Blocking access to the lists on the platform.
-class ListsStore
+config::WriteReport writeLists(BlockingStore &store, const config::WriteLists &order)
 {
-public:
-    explicit ListsStore(const std::string &address)
-        : m_store(m_client, address, platformTimeout) { }
-
-    core::Result<ports::StoredObject> read()
-    {
-        std::optional<core::Result<ports::StoredObject>> result;
-        m_store.read(listsName, [&](auto it) { result.emplace(std::move(it)); });
-        while (!result)
-            m_client.run(step);
-        return *result;
+    switch (store.write(listsName, order.expected, order.text)) {
+    case ports::WriteEnd::Written:
+        return config::WriteReport::Written;
+    case ports::WriteEnd::Conflict:
+        return config::WriteReport::Conflict;
+    case ports::WriteEnd::Refused:
+        return config::WriteReport::Refused;
+    case ports::WriteEnd::Unknown:
+        break;
     }
-
-    config::WriteReport write(const config::WriteLists &order)
-    {
-        std::optional<ports::WriteEnd> end;
-        m_store.write(listsName, order.expected, order.text,
-                      [&](ports::WriteEnd it, std::uint64_t) { end = it; });
-        while (!end)
-            m_client.run(step);
-        switch (*end) {
-        case ports::WriteEnd::Written:
-            return config::WriteReport::Written;
-        case ports::WriteEnd::Conflict:
-            return config::WriteReport::Conflict;
-        case ports::WriteEnd::Refused:
-            return config::WriteReport::Refused;
-        case ports::WriteEnd::Unknown:
-            break;
-        }
-        return config::WriteReport::Unknown;
-    }
-
-private:
-    HttpClient m_client;
-    HttpPlatformStore m_store;
-};
+    return config::WriteReport::Unknown;
+}
 
 int fail(const Error &error)
 {
@@ -75,8 +46,8 @@
 
 core::Result<config::Lists> readLists(const std::string &platform)
 {
-    ListsStore store(platform);
-    const auto object = store.read();
+    BlockingStore store(platform);
+    const auto object = store.read(listsName);
     if (!object.has_value())
         return object.error();
     if (object.value().version == 0)
@@ -84,7 +55,7 @@
     return config::parseLists(object.value().text);
 }
 
-core::Result<std::uint64_t> applyChange(ListsStore &store, config::ChangeWriter &writer,
+core::Result<std::uint64_t> applyChange(BlockingStore &store, config::ChangeWriter &writer,
                                         core::TimePoint giveUpAt)
 {
     config::WriterStep next = config::ReadLists{};
@@ -99,10 +70,10 @@
             return Error{code, "run the command again with the same --change-id"};
         }
         if (const auto *order = std::get_if<config::WriteLists>(&next)) {
-            next = writer.onWritten(store.write(*order));
+            next = writer.onWritten(writeLists(store, *order));
             continue;
         }
-        const auto object = store.read();
+        const auto object = store.read(listsName);
         if (object.has_value()) {
             next = writer.onRead(object.value().version, object.value().text, core::wallNow());
         } else {
@@ -154,7 +125,7 @@
     if (changeId.empty())
         changeId = core::randomHex(changeIdBytes);
     const auto giveUpAt = core::Clock::now() + std::chrono::seconds(parsed["wait-s"].as<int>());
-    ListsStore store(platform);
+    BlockingStore store(platform);
     config::ChangeWriter writer(std::move(edit.value()), base, changeId,
                                 parsed["author"].as<std::string>());
     const auto revision = applyChange(store, writer, giveUpAt);
--- a/packages/cli/load_command.cpp
+++ b/packages/cli/load_command.cpp
@@ -1,3 +1,4 @@
+#include "cli/blocking_store.h"
 #include "cli/command.h"
 #include "cli/load_recorder.h"
 #include "cli/options.h"
@@ -202,11 +203,11 @@
 core::Result<policy::routing::ServiceRecord> readService(const std::string &platform,
                                                          const std::string &service)
 {
-    HttpClient client;
-    Transfer transfer;
-    transfer.url = "http://" + platform + "/v1/objects/fleet/servers";
-    const auto result = fetch(client, std::move(transfer));
-    auto fleet = policy::routing::parseFleet(result.body);
+    BlockingStore store(platform);
+    const auto object = store.read("fleet/servers");
+    if (!object.has_value())
+        return object.error();
+    auto fleet = policy::routing::parseFleet(object.value().text);
     if (!fleet.has_value())
         return fleet.error();
     const auto it = fleet.value().services.find(service);
--- a/packages/core/result_code.cpp
+++ b/packages/core/result_code.cpp
@@ -103,6 +103,16 @@
     return it == table.end() ? table.front() : *it;
 }
 
+ResultCode refusalFor(int httpStatus)
+{
+    using enum ResultCode;
+    for (const auto code : {BodyTooLarge, RequestTimeout, HeadTooLarge}) {
+        if (infoOf(code).httpStatus == httpStatus)
+            return code;
+    }
+    return MalformedRequest;
+}
+
 std::string_view nameOf(ResultClass resultClass)
 {
     return nameIn(resultClassNames, resultClass);
--- a/packages/core/result_code.h
+++ b/packages/core/result_code.h
@@ -82,6 +82,10 @@
 // Returns the row of `code`. Precondition: `code` is an enumerator. Thread-safe.
 const ResultCodeInfo &infoOf(ResultCode code);
 
+// Returns the code of a request that is refused with this HTTP status because it cannot be read.
+// Thread-safe.
+ResultCode refusalFor(int httpStatus);
+
 // Returns "done", "refused, not run" or "outcome unknown". Thread-safe.
 std::string_view nameOf(ResultClass resultClass);
 
--- a/packages/daemon/engine/engine.cpp
+++ b/packages/daemon/engine/engine.cpp
@@ -1,16 +1,22 @@
 #include "daemon/engine/engine.h"
 
-#include "adapters/curl/http_client.h"
-#include "adapters/curl/http_platform_store.h"
-#include "adapters/curl/http_server_channel.h"
 #include "adapters/logging/log.h"
+#include "adapters/loop/exchange_client.h"
+#include "adapters/loop/front_server.h"
+#include "adapters/loop/loop_server_channel.h"
+#include "adapters/peers/loop_peer_link.h"
+#include "daemon/control/routes.h"
 #include "daemon/engine/answers.h"
-#include "daemon/engine/peer_link_client.h"
 #include "daemon/engine/peer_service.h"
 #include "daemon/engine/reports.h"
 #include "daemon/engine/stop_sequence.h"
+#include "platform/document_store.h"
 
 #include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cctype>
+#include <csignal>
 
 namespace goldcrestline::daemon::engine {
 
@@ -20,10 +26,10 @@
 
 constexpr adapters::logging::LogChannel log("engine:");
 
-constexpr core::Millis longestWait{50};
 constexpr core::Duration statusPeriod = std::chrono::milliseconds(200);
 constexpr core::Duration expiryPeriod = std::chrono::seconds(5);
 constexpr core::Duration silenceCheck = std::chrono::milliseconds(20);
+constexpr core::Duration connectionCheck = std::chrono::milliseconds(250);
 
 constexpr std::string_view queryPrefix = "/v1/query/";
 constexpr std::string_view requestPrefix = "/v1/request/";
@@ -58,24 +64,62 @@
     };
 }
 
+// The product's own interface spells header names in lower case.
+ports::HttpRequest toHttpRequest(ports::Incoming from)
+{
+    ports::HttpRequest to;
+    to.method = std::move(from.method);
+    to.target = std::move(from.target);
+    for (auto &it : from.headers) {
+        for (auto &c : it.name)
+            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        to.headers[it.name] = std::move(it.value);
+    }
+    to.body = std::move(from.body);
+    return to;
+}
+
+ports::Outgoing toOutgoing(ports::HttpResponse from)
+{
+    ports::Outgoing to;
+    to.status = from.status;
+    for (auto &it : from.headers)
+        to.headers.push_back({it.first, std::move(it.second)});
+    to.body = std::move(from.body);
+    return to;
+}
+
+// Answers a request that cannot be read.
+ports::Outgoing unreadable(int status, const std::string &why)
+{
+    return toOutgoing(answerFor(core::refusalFor(status), why));
+}
+
 } // namespace
 
 // Everything that lives on the engine's thread.
 class Engine::Loop
 {
 public:
-    Loop(const std::shared_ptr<const adapters::settings::Settings> &settings,
-         const std::shared_ptr<const policy::once::KeyIssuer> &keys, StatusBoard &board,
-         core::Mailbox<EngineMessage> &mailbox)
-        : m_board(board), m_mailbox(mailbox),
+    Loop(std::shared_ptr<const adapters::settings::Settings> settings,
+         std::shared_ptr<const policy::once::KeyIssuer> keys)
+        : m_timer(m_io), m_signals(m_io, SIGTERM, SIGINT),
           m_host(settings,
                  policy::membership::MemberTable(selfOf(*settings, *keys),
                                                  settings->peers.seeds.value, timesOf(*settings),
                                                  makeRandom()),
                  keys),
-          m_channel(m_client, channelLimits()),
-          m_platform(m_client, settings->platform.address.value,
-                     settings->platform.timeoutMs.millis()),
+          m_client(m_io, clientOptions()), m_channel(m_client, channelLimits()),
+          m_platform(
+              [this](ports::ExchangeRequest request, core::Millis timeout,
+                     platform::DocumentStore::Done done) {
+                  sendToPlatform(std::move(request), timeout, std::move(done));
+              },
+              settings->platform.timeoutMs.millis()),
+          m_link(m_io, settings->listen.peers.value,
+                 [this](ports::PeerCall call) {
+                     m_peers.handle(std::move(call), core::Clock::now());
+                 }),
           m_limits(m_host, m_link), m_gate(m_host, m_limits), m_queries(m_host, m_gate, m_channel),
           m_requests(m_host, m_gate, m_queries, m_channel, m_link, m_platform),
           m_documents(m_host, m_platform, m_link,
@@ -83,37 +127,31 @@
           m_peers(m_host, m_link, m_documents, m_queries, m_requests, m_limits),
           m_stop(
               m_host, m_peers, m_queries, m_requests, m_link,
-              [this] { m_callers->finishConnections(); }, [this] { m_ended = true; })
+              [this] { m_callers.finishConnections(); }, [this] { m_io.stop(); }),
+          m_routes(m_board, std::move(keys),
+                   static_cast<std::size_t>(settings->callers.entryPoints.value),
+                   settings->callers.keyLifeMs.millis()),
+          m_callers(m_io, settings->listen.callers.value, callerLimits(*settings), callerHooks()),
+          m_control(m_io, settings->listen.control.value, {}, controlHooks())
     { }
 
-    void wake() { m_client.wake(); }
-
-    void attach(adapters::callers::CallerServer &callers, adapters::peers::PeerThread &peers)
-    {
-        m_callers = &callers;
-        m_link.attach(peers);
-    }
-
     void run()
     {
+        m_signals.async_wait([this](boost::system::error_code ec, int) {
+            if (!ec)
+                m_stop.begin(core::Clock::now());
+        });
+        m_host.timers.setOnEarlier([this] { arm(core::Clock::now()); });
         startPeriodicWork(core::Clock::now());
-        while (!m_ended) {
-            auto now = core::Clock::now();
-            for (auto &message : m_mailbox.drain())
-                std::visit([&](auto &it) { handle(it, now); }, message);
-            now = core::Clock::now();
-            m_host.timers.runDue(now);
-            m_client.run(waitFor(core::Clock::now()));
-        }
+        m_io.run();
         publish(core::Clock::now());
     }
 
 private:
-    adapters::curl::ChannelLimits channelLimits()
+    adapters::loop::ChannelLimits channelLimits()
     {
-        adapters::curl::ChannelLimits limits;
+        adapters::loop::ChannelLimits limits;
         limits.cancelGrace = m_host.settings->queries.cancelGraceMs.millis();
-        limits.idleConnection = m_host.settings->queries.idleConnectionMs.millis();
         limits.zone = m_host.settings->host.zone.value;
         limits.connectionShare = [this](const std::string &id) {
             for (const auto &it : m_queries.services()) {
@@ -125,12 +163,74 @@
         return limits;
     }
 
-    core::Millis waitFor(TimePoint now) const
+    adapters::loop::ExchangeOptions clientOptions() const
+    {
+        adapters::loop::ExchangeOptions options;
+        options.idleTime = m_host.settings->queries.idleConnectionMs.millis();
+        return options;
+    }
+
+    static adapters::loop::FrontLimits callerLimits(const adapters::settings::Settings &settings)
+    {
+        adapters::loop::FrontLimits limits;
+        limits.bodyBytes = static_cast<std::uint64_t>(settings.callers.bodyBytes.value);
+        limits.headerTime = settings.callers.readMs.millis();
+        limits.idleTime = settings.callers.idleMs.millis();
+        return limits;
+    }
+
+    adapters::loop::FrontHooks callerHooks()
+    {
+        return {
+            [this](adapters::loop::FrontCall call, TimePoint now) {
+                ports::CallerCall passed;
+                passed.id = call.id;
+                passed.request = toHttpRequest(std::move(call.request));
+                passed.respond = [respond = std::move(call.respond)](ports::HttpResponse response) {
+                    respond(toOutgoing(std::move(response)));
+                };
+                handle(passed, now);
+            },
+            [this](std::uint64_t id, TimePoint now) { m_queries.callerGone(id, now); }, unreadable};
+    }
+
+    adapters::loop::FrontHooks controlHooks()
+    {
+        return {[this](adapters::loop::FrontCall call, TimePoint) {
+                    auto request = toHttpRequest(std::move(call.request));
+                    call.respond(toOutgoing(m_routes.answer(request)));
+                },
+                [](std::uint64_t, TimePoint) {}, unreadable};
+    }
+
+    void sendToPlatform(ports::ExchangeRequest request, core::Millis timeout,
+                        platform::DocumentStore::Done done)
+    {
+        const auto now = core::Clock::now();
+        request.giveUpAt = now + timeout;
+        m_client.send(m_host.settings->platform.address.value, std::move(request), now,
+                      std::move(done));
+    }
+
+    void onTimer()
+    {
+        m_armedAt = TimePoint::max();
+        m_host.timers.runDue(core::Clock::now());
+        arm(core::Clock::now());
+    }
+
+    // Sets the timer to the next work if that comes before the time that is set.
+    void arm(TimePoint now)
     {
-        const auto next = m_host.timers.next();
-        if (next <= now)
-            return core::Millis(0);
-        return std::min(longestWait, std::chrono::ceil<core::Millis>(next - now));
+        const auto next = std::max(now, m_host.timers.next());
+        if (next >= m_armedAt)
+            return;
+        m_armedAt = next;
+        m_timer.expires_at(next);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                onTimer();
+        });
     }
 
     void startPeriodicWork(TimePoint now)
@@ -144,7 +244,15 @@
                [this](TimePoint at) { m_queries.pollServers(at); });
         repeat(now, statusPeriod, [this](TimePoint at) { publish(at); });
         repeat(now, expiryPeriod, [this](TimePoint) { m_requests.expire(core::wallNow()); });
-        repeat(now, silenceCheck, [this](TimePoint at) { m_channel.tick(at); });
+        repeat(now, silenceCheck, [this](TimePoint at) {
+            m_channel.tick(at);
+            m_client.tick(at);
+            m_link.tick(at);
+        });
+        repeat(now, connectionCheck, [this](TimePoint at) {
+            m_callers.tick(at);
+            m_control.tick(at);
+        });
     }
 
     void repeat(TimePoint at, core::Duration period, std::function<void(TimePoint)> work)
@@ -166,11 +274,6 @@
         call.respond(answerFor(core::ResultCode::UnknownPath, call.request.method + " " + path));
     }
 
-    void handle(ports::CallerGone &gone, TimePoint now) { m_queries.callerGone(gone.id, now); }
-    void handle(ports::PeerCall &call, TimePoint now) { m_peers.handle(std::move(call), now); }
-    void handle(adapters::peers::PeerDone &done, TimePoint) { m_link.onDone(std::move(done)); }
-    void handle(StopRequested &, TimePoint now) { m_stop.begin(now); }
-
     void publish(TimePoint now)
     {
         HostStatus status;
@@ -197,13 +300,15 @@
         m_board.publish(std::move(status));
     }
 
-    StatusBoard &m_board;
-    core::Mailbox<EngineMessage> &m_mailbox;
+    boost::asio::io_context m_io{1};
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    StatusBoard m_board;
     HostState m_host;
-    adapters::curl::HttpClient m_client;
-    adapters::curl::HttpServerChannel m_channel;
-    adapters::curl::HttpPlatformStore m_platform;
-    PeerLinkClient m_link;
+    adapters::loop::ExchangeClient m_client;
+    adapters::loop::LoopServerChannel m_channel;
+    platform::DocumentStore m_platform;
+    adapters::peers::LoopPeerLink m_link;
     PlanLimits m_limits;
     AdmissionGate m_gate;
     QueryService m_queries;
@@ -211,43 +316,22 @@
     DocumentSync m_documents;
     PeerService m_peers;
     StopSequence m_stop;
-    adapters::callers::CallerServer *m_callers = nullptr;
-    bool m_ended = false;
+    control::Routes m_routes;
+    adapters::loop::FrontServer m_callers;
+    adapters::loop::FrontServer m_control;
+    TimePoint m_armedAt = TimePoint::max();
 };
 
 Engine::Engine(std::shared_ptr<const adapters::settings::Settings> settings,
-               std::shared_ptr<const policy::once::KeyIssuer> keys, StatusBoard &board)
-    : m_settings(std::move(settings)), m_keys(std::move(keys)), m_board(board),
-      m_loop(std::make_unique<Loop>(m_settings, m_keys, m_board, m_mailbox))
-{
-    m_mailbox.setWake([this] { m_loop->wake(); });
-}
-
-Engine::~Engine()
-{
-    if (m_thread.joinable())
-        m_thread.join();
-}
-
-void Engine::post(EngineMessage message)
-{
-    m_mailbox.post(std::move(message));
-}
+               std::shared_ptr<const policy::once::KeyIssuer> keys)
+    : m_loop(std::make_unique<Loop>(std::move(settings), std::move(keys)))
+{ }
 
-void Engine::start(adapters::callers::CallerServer &callers, adapters::peers::PeerThread &peers)
-{
-    m_loop->attach(callers, peers);
-    m_thread = std::thread([this] {
-        pthread_setname_np(pthread_self(), "engine");
-        log.info("started host=" + m_settings->host.name.value);
-        m_loop->run();
-        m_stopped.set_value();
-    });
-}
+Engine::~Engine() = default;
 
-void Engine::waitUntilStopped()
+void Engine::run()
 {
-    m_stopped.get_future().wait();
+    m_loop->run();
 }
 
 } // namespace goldcrestline::daemon::engine
--- a/packages/daemon/engine/status_board.h
+++ b/packages/daemon/engine/status_board.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -35,26 +34,19 @@
     core::Millis keepFor{0};
 };
 
-// The newest status, written by the engine and read by the control server. Thread-safe.
+// The newest status, written by the engine and read by the control address. Not thread-safe.
 class StatusBoard
 {
 public:
     void publish(HostStatus status)
     {
-        auto fresh = std::make_shared<const HostStatus>(std::move(status));
-        const std::lock_guard lock(m_mutex);
-        m_status = std::move(fresh);
+        m_status = std::make_shared<const HostStatus>(std::move(status));
     }
 
     // Returns the newest status; never null.
-    std::shared_ptr<const HostStatus> read() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_status;
-    }
+    std::shared_ptr<const HostStatus> read() const { return m_status; }
 
 private:
-    mutable std::mutex m_mutex;
     std::shared_ptr<const HostStatus> m_status = std::make_shared<const HostStatus>();
 };
 
--- a/packages/daemon/engine/timer_queue.h
+++ b/packages/daemon/engine/timer_queue.h
@@ -11,10 +11,16 @@
 class TimerQueue
 {
 public:
+    // Sets a hook that is called whenever work becomes due earlier than all other work.
+    void setOnEarlier(std::function<void()> onEarlier) { m_onEarlier = std::move(onEarlier); }
+
     // Runs `work` at `at` or as soon as possible after it.
     void at(core::TimePoint at, std::function<void(core::TimePoint now)> work)
     {
+        const bool earlier = at < next();
         m_entries.emplace(at, std::move(work));
+        if (earlier && m_onEarlier)
+            m_onEarlier();
     }
 
     // Runs all work that is due.
@@ -34,6 +40,7 @@
     }
 
 private:
+    std::function<void()> m_onEarlier;
     std::multimap<core::TimePoint, std::function<void(core::TimePoint)>> m_entries;
 };
 
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -1,9 +1,9 @@
 #include "daemon/forward/forward_host.h"
 
 #include "adapters/logging/log.h"
-#include "adapters/loop/datagram_link.h"
 #include "adapters/loop/exchange_client.h"
 #include "adapters/loop/front_server.h"
+#include "adapters/peers/loop_peer_link.h"
 #include "core/result_code.h"
 #include "daemon/forward/forward_service.h"
 #include "daemon/forward/membership.h"
@@ -51,12 +51,7 @@
 
 ports::Outgoing unreadable(int status, const std::string &why)
 {
-    auto code = ResultCode::MalformedRequest;
-    for (const auto it :
-         {ResultCode::BodyTooLarge, ResultCode::RequestTimeout, ResultCode::HeadTooLarge}) {
-        if (core::infoOf(it).httpStatus == status)
-            code = it;
-    }
+    const auto code = core::refusalFor(status);
     return platform::ownAnswer(status, static_cast<int>(code),
                                std::string(core::infoOf(code).text) + " " + why);
 }
@@ -470,7 +465,7 @@
     ForwardService m_forward;
     StoreSync m_config;
     StoreSync m_serverSync;
-    adapters::loop::DatagramLink m_link;
+    adapters::peers::LoopPeerLink m_link;
     Membership m_membership;
     FrontServer m_callers;
     FrontServer m_directory;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,14 +1,9 @@
-#include "adapters/callers/caller_server.h"
-#include "adapters/control/control_server.h"
 #include "adapters/logging/log.h"
-#include "adapters/peers/peer_thread.h"
 #include "adapters/settings/settings.h"
 #include "core/hash.h"
-#include "daemon/control/routes.h"
 #include "daemon/engine/engine.h"
 #include "daemon/forward/forward_host.h"
 
-#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -54,41 +49,13 @@
 
 int serve(const std::shared_ptr<const adapters::settings::Settings> &settings)
 {
-    // Threads inherit the mask, so that only this thread takes the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
     const auto keys = std::make_shared<const policy::once::KeyIssuer>(
         settings->host.name.value, static_cast<std::uint64_t>(core::wallNow()),
         core::randomHex(secretBytes));
-    const auto &callers = settings->callers;
-    engine::StatusBoard board;
-    engine::Engine engine(settings, keys, board);
-    adapters::callers::CallerLimits limits{static_cast<std::uint64_t>(callers.bodyBytes.value),
-                                           callers.readMs.millis(), callers.idleMs.millis()};
-    adapters::callers::CallerServer callerServer(
-        settings->listen.callers.value, limits, [&engine](adapters::callers::CallerEvent event) {
-            std::visit([&](auto &it) { engine.post(std::move(it)); }, event);
-        });
-    adapters::peers::PeerThread peers(
-        settings->listen.peers.value, [&engine](adapters::peers::PeerEvent event) {
-            std::visit([&](auto &it) { engine.post(std::move(it)); }, event);
-        });
-    control::Routes routes(board, keys, static_cast<std::size_t>(callers.entryPoints.value),
-                           callers.keyLifeMs.millis());
-    adapters::control::ControlServer controlServer(
-        settings->listen.control.value,
-        [&routes](const ports::HttpRequest &request) { return routes.answer(request); });
-    engine.start(callerServer, peers);
+    engine::Engine engine(settings, keys);
     log.info("ready callers=" + settings->listen.callers.value
              + " control=" + settings->listen.control.value);
-    int signal = 0;
-    sigwait(&signals, &signal);
-    engine.post(engine::StopRequested{});
-    engine.waitUntilStopped();
+    engine.run();
     log.info("stopped");
     return 0;
 }
--- a/packages/ports/exchange.h
+++ b/packages/ports/exchange.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <boost/beast/core/string.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,6 +62,13 @@
     // dropped. Empty for none.
     std::string identityHeader;
     std::string identity;
+    // Judges a response by its status and headers; refusing ends the exchange as broken and closes
+    // the connection. Empty accepts all.
+    std::function<bool(int status, const Headers &headers)> accept;
+    // Time at which the exchange is given up and its connection closed.
+    core::TimePoint giveUpAt = core::TimePoint::max();
+    // Uses a new connection, which is closed afterwards.
+    bool freshConnection = false;
 };
 
 // How an exchange ended.
@@ -68,6 +78,8 @@
     NotReached,
     // The connection ended, or what came is no whole response: the request may have run.
     Broken,
+    // No whole response came in time: the request may have run.
+    TimedOut,
 };
 
 struct ExchangeResult
--- a/tests/bench/sizes.cpp
+++ b/tests/bench/sizes.cpp
@@ -5,7 +5,6 @@
 #include "policy/membership/member_table.h"
 #include "policy/once/ledger.h"
 
-#include <capnp/serialize.h>
 #include <chrono>
 #include <fstream>
 #include <functional>
@@ -68,9 +67,8 @@
     const auto messageBytes = [&](bool whole) {
         ports::Gossip gossip;
         gossip.members = table.updates(whole);
-        capnp::MallocMessageBuilder builder;
-        adapters::peers::writeGossip(gossip, builder.initRoot<adapters::peers::wire::Gossip>());
-        return static_cast<double>(8 * capnp::computeSerializedSizeInWords(builder));
+        return static_cast<double>(
+            adapters::peers::encode(1, ports::PeerRequest(std::move(gossip))).size());
     };
     print("message with 12 updates", messageBytes(false), "bytes");
     // News stop being sent after a while; only the sender's own record is left.
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -178,7 +178,8 @@
     for (auto &it : operators)
         it.join();
     cluster.setPlatform({{"lose_share", 0}});
-    const auto final = parsed(get(cluster.platform() + "/v1/objects/config/lists"));
+    const auto final =
+        parsed(get(cluster.platform() + "/objects/goldcrestline-config/lists")).at("spec");
     std::map<std::string, int> times;
     for (const auto &it : final.at("history"))
         ++times[it.at("change_id").get<std::string>()];
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -1,6 +1,7 @@
 #include "platform_standin.h"
 
-#include <nlohmann/json.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace standins {
 
@@ -9,8 +10,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds watchStep{3};
+constexpr std::chrono::milliseconds longestWatch{30000};
 constexpr std::size_t largestValue = 1U << 20;
-constexpr std::string_view objectPrefix = "/v1/objects/";
+constexpr std::string_view objectPrefix = "/objects/";
 
 std::uint64_t numberOf(const std::string &text)
 {
@@ -28,6 +30,25 @@
     m_acceptor = listen(io, port, std::move(hooks));
 }
 
+std::optional<PlatformStandin::Path> PlatformStandin::parse(const std::string &target)
+{
+    auto rest = target.substr(0, target.find('?'));
+    if (!rest.starts_with(objectPrefix))
+        return std::nullopt;
+    rest = rest.substr(objectPrefix.size());
+    Path path;
+    const auto slash = rest.find('/');
+    path.kind = rest.substr(0, slash);
+    if (slash != std::string::npos)
+        path.name = rest.substr(slash + 1);
+    constexpr std::string_view statusSuffix = "/status";
+    if (path.name.ends_with(statusSuffix)) {
+        path.status = true;
+        path.name.resize(path.name.size() - statusSuffix.size());
+    }
+    return path;
+}
+
 asio::awaitable<Response> PlatformStandin::handle(const Request &request,
                                                   std::shared_ptr<Connection> connection)
 {
@@ -42,15 +63,18 @@
     }
     if (m_slowMs > 0)
         co_await pause(std::chrono::milliseconds(m_slowMs));
-    if (!target.starts_with(objectPrefix))
+    const auto path = parse(target);
+    if (!path)
         co_return makeResponse(404);
-    const auto path = target.substr(0, target.find('?'));
-    const auto name = path.substr(objectPrefix.size());
-    if (request.method() == http::verb::get)
-        co_return co_await read(request, name);
-    if (request.method() == http::verb::put)
-        co_return write(request, name, connection);
-    co_return makeResponse(405);
+    if (request.method() != http::verb::get)
+        co_return co_await write(request, *path, std::move(connection));
+    const bool watching = !parameterOf(request, "watch").empty();
+    ++(watching ? m_counters.watches : m_counters.reads);
+    if (limited(m_readRate, m_readsPerSecond))
+        co_return makeResponse(429);
+    if (watching)
+        co_return co_await watch(request, path->kind);
+    co_return path->name.empty() ? list(request, path->kind) : get(*path);
 }
 
 bool PlatformStandin::limited(Rate &rate, int limit)
@@ -66,58 +90,175 @@
     return true;
 }
 
-Response PlatformStandin::found(const Object &object) const
+json PlatformStandin::jsonOf(const std::string &name, const Object &object)
 {
-    auto response = makeResponse(200, object.text);
-    response.set("X-Version", std::to_string(object.version));
-    return response;
+    return {{"meta",
+             {{"name", name},
+              {"revision", object.revision},
+              {"created", object.created},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", object.spec},
+            {"status", object.status}};
 }
 
-asio::awaitable<Response> PlatformStandin::read(const Request &request, const std::string &name)
+Response PlatformStandin::list(const Request &request, const std::string &kind) const
 {
-    const auto waitMs = numberOf(parameterOf(request, "wait_ms"));
-    const auto above = numberOf(parameterOf(request, "above"));
-    if (waitMs > 0)
-        ++m_counters.watches;
-    else
-        ++m_counters.reads;
-    if (limited(m_readRate, m_readsPerSecond))
-        co_return makeResponse(429);
-    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
+    const auto after = parameterOf(request, "after");
+    json items = json::array();
+    bool more = false;
+    const auto found = m_kinds.find(kind);
+    if (found != m_kinds.end()) {
+        for (auto it = found->second.upper_bound(after); it != found->second.end(); ++it) {
+            if (items.size() == m_pageSize) {
+                more = true;
+                break;
+            }
+            items.push_back(jsonOf(it->first, it->second));
+        }
+    }
+    return makeResponse(
+        200, json{{"items", items}, {"more", more}, {"store_revision", m_revision}}.dump());
+}
+
+Response PlatformStandin::get(const Path &path) const
+{
+    const auto kind = m_kinds.find(path.kind);
+    if (kind == m_kinds.end())
+        return makeResponse(404);
+    const auto it = kind->second.find(path.name);
+    if (it == kind->second.end())
+        return makeResponse(404);
+    return makeResponse(200, jsonOf(it->first, it->second).dump());
+}
+
+asio::awaitable<Response> PlatformStandin::watch(const Request &request, const std::string &kind)
+{
+    const auto from = numberOf(parameterOf(request, "watch"));
+    const auto wait = std::min(
+        longestWatch, std::chrono::milliseconds(numberOf(parameterOf(request, "wait_ms"))));
+    const auto until = std::chrono::steady_clock::now() + wait;
     while (true) {
         if (m_mode == "refuse")
             co_return makeResponse(503);
-        const auto it = m_objects.find(name);
-        if (it != m_objects.end() && it->second.version > above)
-            co_return found(it->second);
-        if (std::chrono::steady_clock::now() >= until)
-            co_return makeResponse(it == m_objects.end() ? 404 : 304, "");
+        if (from < m_forgotten)
+            co_return makeResponse(410);
+        json events = json::array();
+        for (const auto &it : m_history) {
+            if (it.kind == kind && it.revision > from)
+                events.push_back(it.event);
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= until) {
+            co_return makeResponse(200,
+                                   json{{"events", events}, {"store_revision", m_revision}}.dump());
+        }
         co_await pause(watchStep);
     }
 }
 
-Response PlatformStandin::write(const Request &request, const std::string &name,
-                                const std::shared_ptr<Connection> &connection)
+asio::awaitable<Response> PlatformStandin::write(const Request &request, const Path &path,
+                                                 std::shared_ptr<Connection> connection)
 {
     ++m_counters.writes;
     if (limited(m_writeRate, m_writesPerSecond))
-        return makeResponse(429);
+        co_return makeResponse(429);
     if (request.body().size() > largestValue)
-        return makeResponse(413);
-    const auto expected = headerOf(request, "X-Expected-Version");
-    auto &object = m_objects[name];
-    const bool conflict = !expected.empty() && numberOf(expected) != object.version;
-    if (!conflict) {
-        object.version = ++m_lastVersion;
-        object.text = request.body();
-    }
-    if (std::uniform_real_distribution<>(0, 1)(m_random) < m_loseShare) {
+        co_return makeResponse(413);
+    const bool lost = std::uniform_real_distribution<>(0, 1)(m_random) < m_loseShare;
+    if (lost) {
         ++m_counters.lost;
         connection->dropped = true;
     }
-    auto response = makeResponse(conflict ? 412 : 200);
-    response.set("X-Version", std::to_string(object.version));
-    return response;
+    if (lost && m_lateMs > 0) {
+        // The change is made later, if its condition still holds then.
+        asio::co_spawn(
+            m_acceptor->get_executor(),
+            [](PlatformStandin *self, Request late, Path where) -> asio::awaitable<void> {
+                co_await pause(std::chrono::milliseconds(self->m_lateMs));
+                self->apply(late, where);
+            }(this, request, path),
+            asio::detached);
+        co_return makeResponse(503);
+    }
+    co_return apply(request, path);
+}
+
+Response PlatformStandin::apply(const Request &request, const Path &path)
+{
+    if (request.method() == http::verb::delete_)
+        return remove(path, numberOf(parameterOf(request, "revision")));
+    const auto body = json::parse(request.body(), nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+        return makeResponse(400);
+    if (request.method() == http::verb::post)
+        return create(path.kind, body);
+    if (request.method() == http::verb::put)
+        return replace(path, body);
+    return makeResponse(405);
+}
+
+Response PlatformStandin::create(const std::string &kind, const json &body)
+{
+    const auto name = body.value("meta", json::object()).value("name", "");
+    if (name.empty())
+        return makeResponse(400);
+    auto &objects = m_kinds[kind];
+    const auto it = objects.find(name);
+    if (it != objects.end())
+        return makeResponse(409, jsonOf(name, it->second).dump());
+    Object object;
+    object.revision = object.created = ++m_revision;
+    object.spec = body.value("spec", json());
+    objects[name] = object;
+    record(kind, name, object, false);
+    return makeResponse(200, jsonOf(name, object).dump());
+}
+
+Response PlatformStandin::replace(const Path &path, const json &body)
+{
+    auto &objects = m_kinds[path.kind];
+    const auto it = objects.find(path.name);
+    if (it == objects.end())
+        return makeResponse(404);
+    auto &object = it->second;
+    const auto expected = body.value("meta", json::object()).value("revision", std::uint64_t{0});
+    if (expected != 0 && expected != object.revision)
+        return makeResponse(409, jsonOf(path.name, object).dump());
+    auto &part = path.status ? object.status : object.spec;
+    auto fresh = body.value(path.status ? "status" : "spec", json());
+    if (part != fresh) {
+        part = std::move(fresh);
+        object.revision = ++m_revision;
+        record(path.kind, path.name, object, false);
+    }
+    return makeResponse(200, jsonOf(path.name, object).dump());
+}
+
+Response PlatformStandin::remove(const Path &path, std::uint64_t revision)
+{
+    auto &objects = m_kinds[path.kind];
+    const auto it = objects.find(path.name);
+    if (it == objects.end())
+        return makeResponse(404);
+    if (revision != 0 && revision != it->second.revision)
+        return makeResponse(409, jsonOf(path.name, it->second).dump());
+    auto object = it->second;
+    objects.erase(it);
+    object.revision = ++m_revision;
+    record(path.kind, path.name, object, true);
+    return makeResponse(200, jsonOf(path.name, object).dump());
+}
+
+void PlatformStandin::record(const std::string &kind, const std::string &name, const Object &object,
+                             bool deleted)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_history.push_back(
+        {object.revision, kind, {{"deleted", deleted}, {"object", jsonOf(name, object)}}, now});
+    while (!m_history.empty() && now - m_history.front().at > m_historyTime) {
+        m_forgotten = m_history.front().revision;
+        m_history.pop_front();
+    }
 }
 
 Response PlatformStandin::admin(const Request &request)
@@ -137,8 +278,14 @@
     m_mode = body.value("mode", m_mode);
     m_slowMs = body.value("slow_ms", m_slowMs);
     m_loseShare = body.value("lose_share", m_loseShare);
+    m_lateMs = body.value("late_ms", m_lateMs);
     m_readsPerSecond = body.value("reads_per_s", m_readsPerSecond);
     m_writesPerSecond = body.value("writes_per_s", m_writesPerSecond);
+    m_pageSize = body.value("page_size", m_pageSize);
+    if (body.value("forget", false)) {
+        m_history.clear();
+        m_forgotten = m_revision;
+    }
     return makeResponse(200);
 }
 
--- a/tests/standins/server_farm.cpp
+++ b/tests/standins/server_farm.cpp
@@ -124,15 +124,23 @@
     asio::ip::tcp::socket socket(m_io);
     socket.connect({asio::ip::make_address(m_platform.substr(0, colon)),
                     static_cast<unsigned short>(std::stoi(m_platform.substr(colon + 1)))});
-    Request request{http::verb::put, "/v1/objects/fleet/servers", 11};
-    request.set(http::field::host, m_platform);
-    request.body() = fleetText();
-    request.prepare_payload();
-    http::write(socket, request);
-    boost::beast::flat_buffer buffer;
-    Response response;
-    http::read(socket, buffer, response);
-    if (response.result_int() != 200)
+    const auto send = [&](http::verb verb, const std::string &target) {
+        Request request{verb, target, 11};
+        request.set(http::field::host, m_platform);
+        request.body() =
+            json{{"meta", {{"name", "servers"}}}, {"spec", json::parse(fleetText())}}.dump();
+        request.prepare_payload();
+        http::write(socket, request);
+        boost::beast::flat_buffer buffer;
+        Response response;
+        http::read(socket, buffer, response);
+        return response.result_int();
+    };
+    const std::string kind = "/objects/goldcrestline-fleet";
+    auto status = send(http::verb::put, kind + "/servers");
+    if (status == 404)
+        status = send(http::verb::post, kind);
+    if (status != 200)
         throw std::runtime_error("the platform refused the list of servers");
 }
 
