Count a part that covers fewer documents than the shard map as missing; mend both red tests

'an index roll-out with a split mixes nothing' was red once: an answer claimed all groups with fewer documents than the map's.

'the loss of a zone keeps answers whole' was red in 3 of 4 runs: attempts at the lost servers that reached none spent the retry budget, which bounds load on servers.

--- a/packages/policy/fanout/fanout.cpp
+++ b/packages/policy/fanout/fanout.cpp
@@ -93,6 +93,9 @@
         verdict = ReplyVerdict::Foreign;
         return onFailure(id, Failure::Broken, now);
     }
+    // A server that knows fewer documents than the shard map does not hold the whole snapshot.
+    if (reply.documents < m_snapshot.documentsByGroup.at(groupId))
+        return onFailure(id, Failure::SnapshotMissing, now);
     m_attempts.erase(it);
     auto &group = m_groups.at(groupId);
     --group.live;
@@ -129,8 +132,9 @@
     m_attempts.erase(it);
     --group.live;
     if (!group.answered && group.live == 0) {
-        // A missing snapshot ran nothing, so asking the next server is no extra work.
-        const bool free = failure == Failure::SnapshotMissing || failure == Failure::Draining;
+        // These ran nothing, so asking the next server is no extra work.
+        const bool free = failure == Failure::SnapshotMissing || failure == Failure::Draining
+            || failure == Failure::NotReached;
         if (free || m_hooks.mayRetry(groupId, failure, now)) {
             retryGroup(groupId, now, out);
         } else if (failure == Failure::Shed) {
--- a/tests/process/callers.cpp
+++ b/tests/process/callers.cpp
@@ -105,7 +105,10 @@
     const auto answered = answer.at("coverage").at("answered").get<std::uint64_t>();
     const auto total = answer.at("coverage").at("total").get<std::uint64_t>();
     const bool full = answer.at("missing_groups").empty();
-    seen.inflated += answered > total || full != (answered == total) ? 1 : 0;
+    if (answered > total || full != (answered == total)) {
+        ++seen.inflated;
+        seen.problems.push_back("misstated coverage: " + result.body.substr(0, 400));
+    }
     seen.partial += full ? 0 : 1;
 }
 
--- a/tests/process/servers_test.cpp
+++ b/tests/process/servers_test.cpp
@@ -216,3 +216,32 @@
     CHECK(seen.lost == 0);
     CHECK(seen.wrong + seen.mixed + seen.inflated == 0);
 }
+
+TEST_CASE("a snapshot that is dropped while searches wait for it inflates no coverage",
+          "[process][snapshot]")
+{
+    // One slow slot a server, so that searches wait there while the snapshot goes.
+    ClusterShape shape;
+    shape.services = R"({"services": {"doorstep-search":
+        {"groups": 4, "servers_per_group": 3, "service_ms": 25, "slots": 1, "queue": 12}}})";
+    Cluster cluster(std::move(shape));
+    Callers callers(cluster, 12, service, 2000);
+    REQUIRE(eventually([&] { return callers.answers() > 40; }));
+    cluster.addSnapshot({{"service", service},
+                         {"index_version", 2},
+                         {"shard_map", 1},
+                         {"documents", documents(4, 1000)}});
+    for (int group = 0; group < 4; ++group)
+        cluster.setServers({{"service", service}, {"group", group}}, {{"hold", {{"2.1", 1000}}}});
+    cluster.publishServers();
+    for (int group = 0; group < 4; ++group)
+        cluster.setServers({{"service", service}, {"group", group}},
+                           {{"drop", json::array({"1.1"})}});
+    const int before = callers.answers();
+    REQUIRE(eventually([&] { return callers.answers() > before + 100; }, 20));
+    const auto seen = callers.finish();
+    for (const auto &it : seen.problems)
+        std::cout << it << '\n';
+    CHECK(seen.inflated == 0);
+    CHECK(seen.mixed + seen.wrong == 0);
+}
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -172,9 +172,14 @@
         co_return job->cancelled ? refusal(request, 499, "cancelled")
                                  : refusal(request, 429, "shed");
     }
+    // The snapshot may have been dropped while the search waited, or be dropped while it runs.
+    const auto held = holds.find(snapshot);
+    if (search && held == holds.end()) {
+        releaseSlot();
+        co_return refusal(request, 409, "snapshot-missing");
+    }
+    const auto documents = search ? held->second : 0;
     ++m_counters.started;
-    // The snapshot may be dropped while the search runs.
-    const auto documents = search ? holds[snapshot] : 0;
     if (!search)
         ++m_executions[headerOf(request, "X-Key")];
     error_code ec;
--- a/tests/unit/fanout_test.cpp
+++ b/tests/unit/fanout_test.cpp
@@ -34,7 +34,9 @@
     Inflated,
     Shed,
     Missing,
-    Break
+    Break,
+    Thin,
+    NotReached
 };
 
 // Servers, network and budgets around one Fanout, in invented time.
@@ -127,6 +129,13 @@
         case Fault::Inflated:
             event.reply.documents = 10 * documentsPerGroup;
             break;
+        case Fault::Thin:
+            event.reply.documents = documentsPerGroup / 2;
+            break;
+        case Fault::NotReached:
+            event.failure = true;
+            event.kind = Failure::NotReached;
+            break;
         case Fault::Shed:
             event.failure = true;
             event.kind = Failure::Shed;
@@ -227,7 +236,7 @@
         world.snapshots = {snapshotOf({1, 1}, world.groups), snapshotOf({2, 1}, world.groups),
                            snapshotOf({2, 2}, world.groups + 1)};
         world.faults = *rc::gen::container<std::vector<Fault>>(
-            rc::gen::map(rc::gen::inRange(0, 10), [](int n) { return static_cast<Fault>(n); }));
+            rc::gen::map(rc::gen::inRange(0, 12), [](int n) { return static_cast<Fault>(n); }));
         world.delaysMs = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 130));
         world.hedgesLeft = *rc::gen::inRange(0, 5);
         world.retriesLeft = *rc::gen::inRange(0, 5);
@@ -240,6 +249,36 @@
     });
 }
 
+TEST_CASE("a server that cannot be reached costs no budget, since it got no work", "[fanout]")
+{
+    World world;
+    world.snapshots = {snapshotOf({1, 1}, world.groups)};
+    world.faults = {Fault::NotReached, Fault::None};
+    world.hedgesLeft = 0;
+    world.retriesLeft = 0;
+    const auto hooks = world.hooks();
+    Fanout fanout(queryWith(policy::config::Preference::Coverage), world.snapshots[0], hooks);
+    world.run(fanout);
+    REQUIRE(world.finishes.size() == 1);
+    CHECK(world.finishes[0].answer.code == core::ResultCode::Ok);
+}
+
+TEST_CASE("a part that covers fewer documents than the shard map counts as missing", "[fanout]")
+{
+    World world;
+    world.groups = 2;
+    world.replicas = 1;
+    world.snapshots = {snapshotOf({1, 1}, world.groups)};
+    world.faults = {Fault::Thin};
+    const auto hooks = world.hooks();
+    Fanout fanout(queryWith(policy::config::Preference::Coverage), world.snapshots[0], hooks);
+    world.run(fanout);
+    REQUIRE(world.finishes.size() == 1);
+    const auto &answer = world.finishes[0].answer;
+    CHECK(answer.missingGroups.size() == 2);
+    CHECK(answer.answeredDocuments == 0);
+}
+
 TEST_CASE("extra attempts stay within the budgets", "[fanout]")
 {
     rc::prop("sends <= groups + hedges + retries without lacking snapshots", [] {
