--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -111,25 +111,37 @@
     begin(call, note, *route, now);
 }
 
-void ForwardService::begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
-                           const Route &route, TimePoint now)
+policy::forward::CallTimes ForwardService::timesOf(const platform::CallerNote &note,
+                                                   const Route &route, TimePoint now)
 {
     auto patience = route.timeout;
-    if (note.patience)
+    core::Millis spent{0};
+    if (note.patience) {
         patience = std::min(patience, *note.patience - m_limits.callerTransit);
+        const core::Millis mostSpent(static_cast<std::int64_t>(
+            m_limits.spentShare * static_cast<double>(route.objective.count())));
+        spent = std::min(mostSpent, m_patience.elapsed(route.name, *note.patience, now));
+    }
     policy::forward::CallTimes times;
     times.startedAt = now;
     times.deadline = now + patience;
-    times.objectiveAt = now + route.objective - m_limits.callerTransit;
+    times.objectiveAt = now + route.objective - spent - m_limits.callerTransit;
     times.refuseAt =
         now + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.refuseShare);
+    return times;
+}
+
+void ForwardService::begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
+                           const Route &route, TimePoint now)
+{
     auto services = route.shards;
     if (!route.fansOut())
         services.push_back(m_split.next(route));
     const auto parts = services.size();
     const auto id = ++m_lastCall;
     auto running = std::make_unique<Running>(
-        Call(m_table, route, std::move(services), id, times, m_hooks), std::move(call.respond));
+        Call(m_table, route, std::move(services), id, timesOf(note, route, now), m_hooks),
+        std::move(call.respond));
     running->requestId = note.requestId;
     running->head = std::make_shared<const std::string>(platform::commonHead(call.request));
     running->body = std::make_shared<const std::string>(std::move(call.request.body));
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -6,6 +6,7 @@
 #include "platform/dialect.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/call.h"
+#include "policy/forward/patience.h"
 #include "policy/forward/route.h"
 #include "policy/forward/split.h"
 #include "policy/retry/budget.h"
@@ -22,12 +23,15 @@
 struct ForwardLimits
 {
     // Time that a message takes between this host and its caller, both ways together.
-    core::Millis callerTransit{10};
+    core::Millis callerTransit{8};
     // Extra attempts for each first one, and in a burst, at one service by this host.
     double extraShare = 0.18;
     double extraBurst = 4;
     // Share of the objective for which a request may wait for a first server.
     double refuseShare = 0.2;
+    // Largest share of the objective that counts as spent before a request arrived; callers with
+    // unlike deadlines on one route would seem to have waited longer.
+    double spentShare = 0.3;
 };
 
 // Counters since the start.
@@ -117,6 +121,8 @@
 
     void begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
                const policy::forward::Route &route, core::TimePoint now);
+    policy::forward::CallTimes timesOf(const platform::CallerNote &note,
+                                       const policy::forward::Route &route, core::TimePoint now);
     void apply(std::uint64_t id, policy::forward::CallActions &actions, core::TimePoint now);
     void send(std::uint64_t id, Running &running, const policy::forward::Send &send,
               core::TimePoint now);
@@ -148,6 +154,7 @@
     std::function<double()> m_random;
     policy::forward::RouteTablePtr m_table;
     policy::forward::SplitChooser m_split;
+    policy::forward::PatienceTracker m_patience;
     policy::forward::CallHooks m_hooks;
     std::unordered_map<std::string, policy::retry::Budget> m_budgets;
     std::unordered_map<std::uint64_t, std::unique_ptr<Running>> m_calls;
