--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -25,7 +25,9 @@
 
 namespace {
 
-constexpr std::size_t scratchBytes = 32 * 1024;
+// Bytes read from a connection at a time: one short response. A read that fills less of it costs
+// no further system call.
+constexpr std::size_t readBytes = 2048;
 constexpr std::uint32_t responseHeadBytes = 64 * 1024;
 constexpr std::uint64_t responseBodyBytes = 64 << 20;
 // A connection is not used in the last part of the idle time that the server stated, so that a
@@ -47,6 +49,7 @@
     ExchangeId exchange = 0;
     ports::ExchangeRequest request;
     ExchangeClient::Done done;
+    std::array<char, readBytes> buf{};
     std::optional<Parser> parser;
     // Bytes of a response that the parser could not take yet.
     std::string unparsed;
@@ -172,28 +175,23 @@
 
     void awaitBytes(const ConnectionPtr &connection)
     {
-        connection->socket.async_wait(tcp::socket::wait_read, [this, connection](error_code ec) {
-            if (connection->state == Connection::State::Closed)
-                return;
-            if (ec)
-                return onEnd(connection, ec);
-            read(connection);
-        });
+        connection->socket.async_read_some(asio::buffer(connection->buf),
+                                           [this, connection](error_code ec, std::size_t n) {
+                                               if (connection->state == Connection::State::Closed)
+                                                   return;
+                                               if (ec)
+                                                   return onEnd(connection, ec);
+                                               onBytes(connection, n);
+                                           });
     }
 
-    void read(const ConnectionPtr &connection)
+    void onBytes(const ConnectionPtr &connection, std::size_t n)
     {
-        error_code ec;
-        const auto n = connection->socket.read_some(asio::buffer(scratch), ec);
-        if (ec == asio::error::would_block)
-            return awaitBytes(connection);
-        if (ec)
-            return onEnd(connection, ec);
         if (connection->state != Connection::State::Busy) {
             // Nobody asked for these bytes.
             return close(connection);
         }
-        const std::string_view bytes(scratch.data(), n);
+        const std::string_view bytes(connection->buf.data(), n);
         if (connection->unparsed.empty()) {
             parse(connection, bytes);
         } else {
@@ -333,7 +331,6 @@
 
     asio::io_context &io;
     ExchangeOptions options;
-    std::array<char, scratchBytes> scratch{};
     std::unordered_map<std::string, std::vector<ConnectionPtr>> pool;
     std::unordered_map<ExchangeId, ConnectionPtr> byId;
     ExchangeId lastId = 0;
--- a/packages/adapters/loop/front_server.cpp
+++ b/packages/adapters/loop/front_server.cpp
@@ -22,7 +22,9 @@
 
 namespace {
 
-constexpr std::size_t scratchBytes = 32 * 1024;
+// Bytes read from a connection at a time: one short request. A read that fills less of it costs
+// no further system call.
+constexpr std::size_t readBytes = 1024;
 // Bytes of pipelined requests that are kept while one is answered.
 constexpr std::size_t pipelineBytes = 64 * 1024;
 // Time in which a caller must take its answer.
@@ -47,6 +49,7 @@
 
     tcp::socket socket;
     SessionState state = SessionState::Idle;
+    std::array<char, readBytes> buf{};
     std::optional<Parser> parser;
     std::string unparsed;
     // Bytes of the head that were checked.
@@ -138,24 +141,19 @@
         if (session->reading || session->state == SessionState::Closed)
             return;
         session->reading = true;
-        session->socket.async_wait(tcp::socket::wait_read, [this, session](error_code ec) {
-            session->reading = false;
-            if (session->state == SessionState::Closed)
-                return;
-            if (ec)
-                return onEnd(session);
-            read(session);
-        });
+        session->socket.async_read_some(asio::buffer(session->buf),
+                                        [this, session](error_code ec, std::size_t n) {
+                                            session->reading = false;
+                                            if (session->state == SessionState::Closed)
+                                                return;
+                                            if (ec)
+                                                return onEnd(session);
+                                            onBytes(session, n);
+                                        });
     }
 
-    void read(const SessionPtr &session)
+    void onBytes(const SessionPtr &session, std::size_t n)
     {
-        error_code ec;
-        const auto n = session->socket.read_some(asio::buffer(scratch), ec);
-        if (ec == asio::error::would_block)
-            return awaitBytes(session);
-        if (ec)
-            return onEnd(session);
         const auto now = core::Clock::now();
         switch (session->state) {
         case SessionState::Idle:
@@ -167,7 +165,7 @@
         default:
             break;
         }
-        session->unparsed.append(scratch.data(), n);
+        session->unparsed.append(session->buf.data(), n);
         if (session->state == SessionState::Reading)
             parse(session, now);
         // A caller that pipelines more waits until its earlier requests are answered.
@@ -369,7 +367,6 @@
     asio::steady_timer retry;
     FrontLimits limits;
     FrontHooks hooks;
-    std::array<char, scratchBytes> scratch{};
     std::unordered_set<SessionPtr> sessions;
     std::uint64_t lastCall = 0;
     bool finishing = false;
