Give hosts each other's copies while the store is away; prove forwarding by processes

A host that starts while the store is out of reach takes configuration and servers from a peer that told of a newer version; entries borrowed this way go when the store's own list lacks them. Metrics on the control address, settings read again when the file changes without a signal.

--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -6,18 +6,18 @@
 #include "adapters/peers/loop_peer_link.h"
 #include "core/result_code.h"
 #include "daemon/forward/forward_service.h"
+#include "daemon/forward/host_registry.h"
 #include "daemon/forward/membership.h"
-#include "daemon/forward/server_list.h"
-#include "daemon/forward/store_sync.h"
+#include "daemon/forward/metrics.h"
+#include "daemon/forward/platform_copy.h"
 #include "platform/dialect.h"
-#include "platform/names.h"
-#include "platform/records.h"
 #include "policy/entrypoints/entry_points.h"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <filesystem>
 #include <random>
 
 namespace goldcrestline::daemon::forward {
@@ -41,8 +41,9 @@
 constexpr int keptAtMost = 3;
 // Time before the forced end by which a stopping host is gone.
 constexpr core::Millis exitMargin{700};
-// Time for which a newer version that a peer told of may take to arrive by the own watch.
-constexpr core::Millis newsPatience{400};
+// Period of checks on the settings file, which may change without a signal.
+constexpr core::Millis settingsCheck{2000};
+constexpr std::string_view metricsPath = "/v1/metrics";
 // Hosts that a caller is told of.
 constexpr std::size_t addressesAtMost = 8;
 // Part of the fleet's budget of extra attempts that is used; the rest covers hosts that restart
@@ -66,16 +67,13 @@
               m_settings->host.zone.value, {},
               [this](const std::string &service) { return connectionShare(service); },
               [this] { return uniform(); }),
-          m_servers(m_backends),
           m_forward(forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); }),
-          m_config(platform::names::configKind, m_storeClient, mirror(), configHooks()),
-          m_serverSync(platform::names::serversKind, m_storeClient, mirror(), serverHooks()),
           m_link(m_io, m_settings->listen.peers.value,
-                 [this](ports::PeerCall call) {
-                     m_membership.handle(std::move(call), core::Clock::now());
-                 }),
+                 [this](ports::PeerCall call) { onPeer(std::move(call)); }),
+          m_copy(m_storeClient, m_backends, m_link, copyHooks()),
           m_membership(memberTable(), m_settings->peers.periodMs.millis(), m_link,
                        membershipHooks()),
+          m_registry(m_membership.table().self(), m_storeClient, registryHooks()),
           m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
           m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
@@ -90,7 +88,7 @@
         m_signals.add(SIGINT);
         m_signals.add(SIGHUP);
         awaitSignal();
-        registerSelf(core::Clock::now());
+        m_settingsTime = settingsTime();
         onTimer();
         m_io.run();
         log.info("stopped");
@@ -104,11 +102,6 @@
         return options;
     }
 
-    policy::mirror::Mirror mirror()
-    {
-        return {{}, [this] { return 0.5 + uniform() / 2; }};
-    }
-
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
     unsigned below(unsigned n)
@@ -165,78 +158,40 @@
         return out;
     }
 
-    StoreSync::Hooks configHooks()
-    {
-        return {[this](const platform::StoreObject &object, TimePoint now) {
-                    if (object.name == platform::names::configName)
-                        takeConfig(object, now);
-                },
-                [](const std::string &name, TimePoint) {
-                    log.warning("configuration removed name=" + name + "; the last one stays");
-                },
-                [this] { return m_settings->platform.address.value; }};
-    }
-
-    StoreSync::Hooks serverHooks()
+    PlatformCopy::Hooks copyHooks()
     {
-        return {[this](const platform::StoreObject &object, TimePoint) {
-                    m_servers.onObject(object.name, object.spec);
-                },
-                [this](const std::string &name, TimePoint) { m_servers.onRemoved(name); },
-                [this] { return m_settings->platform.address.value; }};
+        return {[this] { return m_settings->platform.address.value; }, [this] { return uniform(); },
+                [this](policy::forward::RouteTablePtr table) { setRoutes(std::move(table)); }};
     }
 
-    void takeConfig(const platform::StoreObject &object, TimePoint)
+    HostRegistry::Hooks registryHooks()
     {
-        auto table = platform::decodeConfig(object.spec);
-        if (!table.has_value()) {
-            log.error("configuration refused: " + table.error().text());
-            return;
-        }
-        const auto &held = m_forward.routes();
-        // A host never goes back to an older version.
-        if (held && table.value()->version() <= held->version())
-            return;
-        const auto &bounds = table.value()->bounds();
-        m_callers.setLimits(
-            {bounds.headerBytes, bounds.bodyBytes, bounds.headerTime, bounds.idleTime});
-        log.info("configuration in force version=" + std::to_string(table.value()->version())
-                 + " routes=" + std::to_string(table.value()->routes().size()));
-        m_forward.setRoutes(std::move(table.value()));
+        return {[this] { return m_settings->platform.address.value; },
+                [this](const std::vector<std::string> &addresses) {
+                    m_membership.table().addSeeds(addresses);
+                }};
     }
 
     Membership::Hooks membershipHooks()
     {
-        return {[this](ports::Gossip &gossip, TimePoint) {
-                    gossip.listsRevision = version();
-                    gossip.fleetRevision = m_serverSync.mirror().revision();
-                },
-                [this](const ports::Gossip &news, const policy::membership::Member &,
-                       TimePoint now) { takeNews(news, now); }};
+        return {[this](ports::Gossip &gossip, TimePoint) { m_copy.describe(gossip); },
+                [this](const ports::Gossip &news, const policy::membership::Member &from,
+                       TimePoint now) { m_copy.takeNews(news, from.peersAddress, now); }};
     }
 
-    std::uint64_t version() const { return m_forward.routes() ? m_forward.routes()->version() : 0; }
-
-    // A watch whose connection went silent shows in peers that know more for some time.
-    void takeNews(const ports::Gossip &news, TimePoint now)
+    void setRoutes(policy::forward::RouteTablePtr table)
     {
-        if (news.listsRevision > version() && m_behindSince == TimePoint{})
-            m_behindSince = now;
-        m_highestVersion = std::max(m_highestVersion, news.listsRevision);
+        const auto &bounds = table->bounds();
+        m_callers.setLimits(
+            {bounds.headerBytes, bounds.bodyBytes, bounds.headerTime, bounds.idleTime});
+        m_forward.setRoutes(std::move(table));
     }
 
-    void checkBehind(TimePoint now)
+    void onPeer(ports::PeerCall call)
     {
-        if (version() >= m_highestVersion) {
-            m_behindSince = {};
-            return;
-        }
-        if (m_behindSince == TimePoint{} || now - m_behindSince < newsPatience)
-            return;
-        m_behindSince = now;
-        log.info("peers know a newer configuration version=" + std::to_string(m_highestVersion));
-        if (!m_config.mirror().failing())
-            m_config.onBehind(now);
+        if (const auto *fetch = std::get_if<ports::FetchRequest>(&call.request))
+            return call.reply(m_copy.answer(fetch->kind));
+        m_membership.handle(std::move(call), core::Clock::now());
     }
 
     adapters::loop::FrontHooks callerHooks()
@@ -260,11 +215,26 @@
             return platform::readinessAnswer(ready());
         if (const auto question = platform::readResolve(request))
             return resolve(*question);
+        if (request.method == "GET" && request.target == metricsPath)
+            return metrics();
         const auto &info = core::infoOf(ResultCode::UnknownPath);
         return platform::ownAnswer(info.httpStatus, static_cast<int>(info.code),
                                    std::string(info.text));
     }
 
+    ports::Outgoing metrics() const
+    {
+        HostGauges gauges;
+        gauges.version = m_copy.version();
+        gauges.members = m_membership.table().live().size();
+        gauges.running = m_forward.running();
+        gauges.storeCalls = m_copy.storeCalls();
+        gauges.storeReached = m_copy.storeReached();
+        gauges.connectionsOpened = m_backendClient.opened();
+        gauges.stopping = m_stopping;
+        return {200, {{"Content-Type", "text/plain"}}, printMetrics(gauges, m_forward.counters())};
+    }
+
     bool ready() const { return !m_stopping && m_forward.routes() != nullptr; }
 
     ports::Outgoing resolve(const platform::ResolveQuestion &question)
@@ -286,68 +256,6 @@
         return platform::resolveAnswer(addresses, m_settings->forward.keepMs.millis());
     }
 
-    void registerSelf(TimePoint now)
-    {
-        const auto &self = m_membership.table().self();
-        m_storeClient.send(m_settings->platform.address.value,
-                           platform::createRequest(platform::names::hostsKind, self.name,
-                                                   platform::encodeHost(self)),
-                           now, [this](const ports::ExchangeResult &result) {
-                               onRegistered(platform::readReply(result));
-                           });
-    }
-
-    void onRegistered(const platform::StoreReply &reply)
-    {
-        const auto now = core::Clock::now();
-        const auto &self = m_membership.table().self();
-        if (reply.end == platform::StoreEnd::Conflict) {
-            m_storeClient.send(m_settings->platform.address.value,
-                               platform::replaceRequest(platform::names::hostsKind, self.name,
-                                                        platform::encodeHost(self)),
-                               now, [this](const ports::ExchangeResult &result) {
-                                   onRegistered(platform::readReply(result));
-                               });
-            return;
-        }
-        if (reply.end != platform::StoreEnd::Done) {
-            log.warning("not registered why=" + reply.detail);
-            m_registerAt = now + registerPause;
-            return;
-        }
-        findHosts("", now);
-    }
-
-    void findHosts(const std::string &after, TimePoint now)
-    {
-        m_storeClient.send(
-            m_settings->platform.address.value,
-            platform::listRequest(platform::names::hostsKind, after), now,
-            [this](const ports::ExchangeResult &result) { onHosts(platform::readReply(result)); });
-    }
-
-    void onHosts(const platform::StoreReply &reply)
-    {
-        const auto now = core::Clock::now();
-        if (reply.end != platform::StoreEnd::Done) {
-            log.warning("hosts not listed why=" + reply.detail);
-            m_registerAt = now + registerPause;
-            return;
-        }
-        std::vector<std::string> addresses;
-        for (const auto &it : reply.items) {
-            const auto host = platform::decodeHost(it.name, it.spec);
-            if (!host.has_value()) {
-                log.warning("host refused: " + host.error().text());
-                continue;
-            }
-            addresses.push_back(host.value().peersAddress);
-        }
-        m_membership.table().addSeeds(addresses);
-        if (reply.more && !reply.items.empty())
-            findHosts(reply.items.back().name, now);
-    }
-
     void awaitSignal()
     {
         m_signals.async_wait([this](boost::system::error_code ec, int signal) {
@@ -362,8 +270,23 @@
         });
     }
 
+    std::filesystem::file_time_type settingsTime() const
+    {
+        std::error_code ec;
+        const auto time = std::filesystem::last_write_time(m_path, ec);
+        // A file that cannot be seen is read again when it can.
+        return ec ? m_settingsTime : time;
+    }
+
+    void checkSettings()
+    {
+        if (settingsTime() != m_settingsTime)
+            reload();
+    }
+
     void reload()
     {
+        m_settingsTime = settingsTime();
         auto settings = adapters::settings::loadSettings(m_path);
         if (!settings.has_value()) {
             log.error("settings refused, the old ones stay: " + settings.error().text());
@@ -419,19 +342,18 @@
     {
         m_backendClient.tick(now);
         m_storeClient.tick(now);
-        m_config.tick(now);
-        m_serverSync.tick(now);
+        m_copy.tick(now);
+        m_registry.tick(now);
         for (auto *it : {&m_callers, &m_directory, &m_readiness, &m_control})
             it->tick(now);
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
         }
-        if (m_registerAt != TimePoint{} && now >= m_registerAt) {
-            m_registerAt = {};
-            registerSelf(now);
+        if (now >= m_settingsCheckAt) {
+            m_settingsCheckAt = now + settingsCheck;
+            checkSettings();
         }
-        checkBehind(now);
         checkStopped(now);
     }
 
@@ -450,8 +372,6 @@
         });
     }
 
-    static constexpr core::Millis registerPause{2000};
-
     std::shared_ptr<const adapters::settings::Settings> m_settings;
     std::string m_path;
     std::mt19937 m_random{std::random_device{}()};
@@ -461,12 +381,11 @@
     ExchangeClient m_backendClient;
     ExchangeClient m_storeClient;
     policy::forward::BackendTable m_backends;
-    ServerList m_servers;
     ForwardService m_forward;
-    StoreSync m_config;
-    StoreSync m_serverSync;
     adapters::peers::LoopPeerLink m_link;
+    PlatformCopy m_copy;
     Membership m_membership;
+    HostRegistry m_registry;
     FrontServer m_callers;
     FrontServer m_directory;
     FrontServer m_readiness;
@@ -474,9 +393,8 @@
     TimePoint m_armedAt = TimePoint::max();
     TimePoint m_housekeepingAt{};
     TimePoint m_memberTickAt{};
-    TimePoint m_registerAt{};
-    std::uint64_t m_highestVersion = 0;
-    TimePoint m_behindSince{};
+    TimePoint m_settingsCheckAt{};
+    std::filesystem::file_time_type m_settingsTime{};
     bool m_stopping = false;
     bool m_closedIdle = false;
     TimePoint m_drainedAt{};
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -284,7 +284,7 @@
 
 void ForwardService::finish(std::uint64_t id, Running &running, const Finish &finish, TimePoint now)
 {
-    count(running, finish);
+    count(running, finish, now);
     logEnd(running, finish, now);
     detach(id, now + loserGrace, false);
     forgetWaiting(id, running);
@@ -326,8 +326,9 @@
     return refusal(ResultCode::ServersFailed);
 }
 
-void ForwardService::count(const Running &running, const Finish &finish)
+void ForwardService::count(const Running &running, const Finish &finish, TimePoint now)
 {
+    m_counters.addLatency(core::toMillis(now - running.call.times().startedAt));
     m_counters.extraAttempts += static_cast<std::uint64_t>(
         std::max(0, running.call.attempts() - static_cast<int>(running.parts.size())));
     switch (finish.end) {
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -3,6 +3,7 @@
 #include "adapters/loop/exchange_client.h"
 #include "adapters/loop/front_server.h"
 #include "core/clock.h"
+#include "daemon/forward/forward_counters.h"
 #include "platform/dialect.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/call.h"
@@ -34,20 +35,6 @@
     double spentShare = 0.5;
 };
 
-// Counters since the start.
-struct ForwardCounters
-{
-    std::uint64_t requests = 0;
-    std::uint64_t answered = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t timedOut = 0;
-    std::uint64_t left = 0;
-    std::uint64_t thin = 0;
-    std::uint64_t attempts = 0;
-    std::uint64_t extraAttempts = 0;
-};
-
 // Forwards callers' requests to servers as their routes say. Not thread-safe: lives on the loop.
 class ForwardService
 {
@@ -129,7 +116,7 @@
     void finish(std::uint64_t id, Running &running, const policy::forward::Finish &finish,
                 core::TimePoint now);
     ports::Outgoing answerOf(Running &running, const policy::forward::Finish &finish);
-    void count(const Running &running, const policy::forward::Finish &finish);
+    void count(const Running &running, const policy::forward::Finish &finish, core::TimePoint now);
     void logEnd(const Running &running, const policy::forward::Finish &finish,
                 core::TimePoint now) const;
     void onExchange(policy::forward::AttemptId id, ports::ExchangeResult result,
--- a/packages/daemon/forward/membership.h
+++ b/packages/daemon/forward/membership.h
@@ -36,6 +36,7 @@
     void leave(core::TimePoint now);
 
     policy::membership::MemberTable &table() { return m_table; }
+    const policy::membership::MemberTable &table() const { return m_table; }
 
 private:
     ports::Gossip gossip(bool wholeTable, core::TimePoint now);
--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -29,7 +29,7 @@
         log.info("older entry left out id=" + id);
         return;
     }
-    newest = {startedAt, entry.sequence};
+    newest = {startedAt, entry.sequence, spec.dump(), false};
     if (entry.record.leaving)
         log.info("leaving id=" + id + " service=" + entry.record.service);
     m_backends.put(entry.record);
@@ -42,4 +42,38 @@
     m_newest.erase(id);
 }
 
+void ServerList::borrow(const nlohmann::json &copy)
+{
+    if (!copy.is_object())
+        return;
+    for (const auto &it : copy.items()) {
+        if (m_newest.count(it.key()) != 0)
+            continue;
+        onObject(it.key(), it.value());
+        m_newest[it.key()].borrowed = true;
+    }
+    log.info("borrowed entries=" + std::to_string(copy.size()));
+}
+
+void ServerList::dropBorrowed()
+{
+    std::vector<std::string> gone;
+    for (const auto &it : m_newest) {
+        if (it.second.borrowed)
+            gone.push_back(it.first);
+    }
+    for (const auto &it : gone)
+        onRemoved(it);
+}
+
+nlohmann::json ServerList::copy() const
+{
+    auto out = nlohmann::json::object();
+    for (const auto &it : m_newest) {
+        if (!it.second.text.empty())
+            out[it.first] = nlohmann::json::parse(it.second.text);
+    }
+    return out;
+}
+
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/server_list.h
+++ b/packages/daemon/forward/server_list.h
@@ -22,12 +22,25 @@
     // Takes the removal of an entry.
     void onRemoved(const std::string &id);
 
+    // Takes another host's copy, for use until the store's list is read.
+    void borrow(const nlohmann::json &copy);
+
+    // Forgets borrowed entries that the store's list did not hold.
+    void dropBorrowed();
+
+    // Returns all entries by id, for another host.
+    nlohmann::json copy() const;
+
 private:
-    // What orders the entries of one id.
+    // The newest entry of one id.
     struct Newest
     {
         core::WallMillis startedAt = 0;
         std::int64_t sequence = 0;
+        // The entry as the platform spells it.
+        std::string text;
+        // Known from another host only.
+        bool borrowed = false;
     };
 
     policy::forward::BackendTable &m_backends;
--- /dev/null
+++ b/tests/harness/routed_cluster.cpp
@@ -0,0 +1,175 @@
+#include "routed_cluster.h"
+
+#include <stdexcept>
+
+namespace harness {
+
+namespace {
+
+const std::string loopback = "127.0.0.1:";
+const std::vector<std::string> zones{"a", "b", "c"};
+constexpr std::size_t portsOfHost = 5;
+
+const char *services = R"({"services": {"shard0": {}, "shard1": {}, "shard2": {},
+    "single": {"servers": 4}, "left": {}, "right": {}}})";
+
+} // namespace
+
+json RoutedCluster::configuration(std::uint64_t version)
+{
+    const auto route = [](const std::string &name, const json &more) {
+        json out{
+            {"name", name},       {"host", "shop.example"},    {"path_prefix", "/" + name + "/"},
+            {"timeout_ms", 2000}, {"target_latency_ms", 300},  {"priority", 1},
+            {"max_attempts", 2},  {"route_type", "idempotent"}};
+        out.update(more);
+        return out;
+    };
+    json listed = json::array();
+    for (const char *it : {"shard0", "shard1", "shard2", "single", "left", "right"})
+        listed.push_back({{"name", it}, {"health_path", "/health"}, {"max_connections", 64}});
+    return {{"version", version},
+            {"routes",
+             {route("all",
+                    {{"fanout_services", {"shard0", "shard1", "shard2"}},
+                     {"top_k", 4},
+                     {"min_shard_share", 0.6}}),
+              route("one", {{"service", "single"}}),
+              route("claim", {{"service", "single"}, {"route_type", "non_idempotent"}}),
+              route("split",
+                    {{"traffic_split",
+                      {{{"service", "left"}, {"weight", 3}},
+                       {{"service", "right"}, {"weight", 1}}}}})}},
+            {"services", listed},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 65536},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 15000}}}};
+}
+
+RoutedCluster::RoutedCluster(int hosts)
+{
+    m_platform = std::make_unique<Process>(
+        std::vector<std::string>{programPath("tests/standins"), "--platform"});
+    m_platformAddress = loopback + m_platform->waitForLine("ready ");
+    const auto spec = scratchFolder() + "/backends.json";
+    writeFile(spec, services);
+    m_farm = std::make_unique<Process>(std::vector<std::string>{
+        programPath("tests/standins"), "--backends", spec, "--store", m_platformAddress});
+    m_farmAddress = loopback + m_farm->waitForLine("ready ");
+    applyConfiguration(configuration(1));
+    const auto count = static_cast<std::size_t>(hosts);
+    const auto ports = freePorts(portsOfHost * count);
+    for (std::size_t i = 0; i < count; ++i) {
+        RoutedHost host;
+        host.name = "host-" + std::to_string(i);
+        host.zone = zones[i % zones.size()];
+        std::size_t port = portsOfHost * i;
+        for (auto *it :
+             {&host.callers, &host.control, &host.directory, &host.readiness, &host.peers})
+            *it = loopback + std::to_string(ports[port++]);
+        host.settingsPath = scratchFolder() + "/settings.toml";
+        m_hosts.push_back(std::move(host));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        writeFile(m_hosts[i].settingsPath, settingsFor(m_hosts[i]));
+        start(i);
+    }
+    const bool serving = eventually([&] {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (!ready(i) || metric(i, "members") != static_cast<double>(count))
+                return false;
+        }
+        return true;
+    });
+    if (!serving)
+        throw std::runtime_error("the hosts do not serve: " + m_hosts[0].process->output());
+}
+
+std::string RoutedCluster::settingsFor(const RoutedHost &host) const
+{
+    return "[host]\nname = \"" + host.name + "\"\nzone = \"" + host.zone
+        + "\"\nserves = \"routes\"\n[listen]\ncallers = \"" + host.callers + "\"\ncontrol = \""
+        + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
+        + host.readiness + "\"\npeers = \"" + host.peers + "\"\n[platform]\naddress = \""
+        + m_platformAddress + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
+}
+
+void RoutedCluster::start(std::size_t n)
+{
+    auto &host = m_hosts[n];
+    host.process = std::make_unique<Process>(std::vector<std::string>{
+        programPath("packages/daemon/goldcrestlined"), "--config", host.settingsPath});
+    host.process->waitForLine("host: start");
+}
+
+void RoutedCluster::applyConfiguration(const json &spec) const
+{
+    const json object{{"meta", {{"name", "main"}}}, {"spec", spec}};
+    Transfer transfer;
+    transfer.method = "PUT";
+    transfer.url = "http://" + m_platformAddress + "/objects/config/main";
+    transfer.body = std::make_shared<const std::string>(object.dump());
+    auto status = call(transfer).status;
+    if (status == 404)
+        status = post(m_platformAddress + "/objects/config", object.dump()).status;
+    if (status != 200)
+        throw std::runtime_error("the configuration was not written");
+}
+
+TransferResult RoutedCluster::ask(std::size_t n, const std::string &path, const std::string &id,
+                                  const std::string &method, const std::string &body,
+                                  int patienceMs) const
+{
+    Transfer transfer;
+    transfer.method = method;
+    transfer.url = "http://" + m_hosts[n].callers + path;
+    transfer.headers = {"Host: shop.example", "X-Request-Id: " + id,
+                        "X-Deadline-Ms: " + std::to_string(patienceMs)};
+    if (!body.empty())
+        transfer.body = std::make_shared<const std::string>(body);
+    transfer.timeout = std::chrono::milliseconds(patienceMs + 1000);
+    return call(std::move(transfer));
+}
+
+std::vector<std::string> RoutedCluster::resolve(std::size_t n) const
+{
+    const auto answer = parsed(get(
+        m_hosts[n].directory + "/resolve?name=shop.example&zone=" + m_hosts[n].zone + "&region="));
+    if (answer.is_null() || !answer.contains("addrs"))
+        return {};
+    return answer.at("addrs").get<std::vector<std::string>>();
+}
+
+bool RoutedCluster::ready(std::size_t n) const
+{
+    return get(m_hosts[n].readiness + "/readiness").status == 200;
+}
+
+double RoutedCluster::metric(std::size_t n, const std::string &name) const
+{
+    const auto text = "\n" + get(m_hosts[n].control + "/v1/metrics").body;
+    const auto key = "\ngoldcrestline_" + name + " ";
+    const auto at = text.find(key);
+    return at == std::string::npos ? -1 : std::stod(text.substr(at + key.size()));
+}
+
+void RoutedCluster::setPlatform(const json &switches) const
+{
+    if (post(m_platformAddress + "/admin/set", switches.dump()).status != 200)
+        throw std::runtime_error("the platform's switches do not answer");
+}
+
+void RoutedCluster::setBackends(const json &changes) const
+{
+    if (post(m_farmAddress + "/admin/set", changes.dump()).status != 200)
+        throw std::runtime_error("the servers' switches do not answer");
+}
+
+json RoutedCluster::runs() const
+{
+    return parsed(get(m_farmAddress + "/admin/runs"));
+}
+
+} // namespace harness
--- /dev/null
+++ b/tests/standins/backend_farm.cpp
@@ -0,0 +1,167 @@
+#include "backend_farm.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <stdexcept>
+
+namespace standins {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t recordBytes = 16;
+constexpr int recordsOfPart = 6;
+const std::vector<std::string> zones{"a", "b", "c"};
+
+// Records that tell their shard, so that a merged answer shows whose they are.
+std::string partOf(const std::string &service)
+{
+    std::string body;
+    for (int i = 0; i < recordsOfPart; ++i) {
+        auto record = std::to_string(i) + "-" + service;
+        record.resize(recordBytes, '.');
+        body += record;
+    }
+    return body;
+}
+
+} // namespace
+
+BackendFarm::BackendFarm(asio::io_context &io, const std::string &spec, std::string platform,
+                         unsigned short adminPort)
+    : m_io(io), m_platform(std::move(platform))
+{
+    const auto services = json::parse(spec).at("services");
+    for (const auto &it : services.items()) {
+        for (int n = 0; n < it.value().value("servers", 3); ++n)
+            add(it.key(), n, it.value().value("work_ms", 5.0));
+    }
+    ListenerHooks hooks;
+    hooks.handle = [this](const Request &request, std::shared_ptr<Connection>) {
+        return admin(request);
+    };
+    m_admin = listen(io, adminPort, std::move(hooks));
+}
+
+void BackendFarm::add(const std::string &service, int number, double workMs)
+{
+    auto backend = std::make_shared<Backend>();
+    backend->id = "i-" + service + "-" + std::to_string(number);
+    backend->service = service;
+    backend->zone = zones[static_cast<std::size_t>(number) % zones.size()];
+    backend->workMs = workMs;
+    ListenerHooks hooks;
+    hooks.handle = [this, backend](const Request &request, std::shared_ptr<Connection> connection) {
+        return serve(request, std::move(connection), backend);
+    };
+    backend->acceptor = listen(m_io, 0, std::move(hooks));
+    m_backends.push_back(backend);
+    publish(*backend);
+}
+
+unsigned BackendFarm::sendToStore(http::verb verb, const std::string &target, const json &body)
+{
+    const auto colon = m_platform.rfind(':');
+    asio::ip::tcp::socket socket(m_io);
+    socket.connect({asio::ip::make_address(m_platform.substr(0, colon)),
+                    static_cast<unsigned short>(std::stoi(m_platform.substr(colon + 1)))});
+    Request request{verb, target, 11};
+    request.set(http::field::host, m_platform);
+    request.body() = body.dump();
+    request.prepare_payload();
+    http::write(socket, request);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    http::read(socket, buffer, response);
+    return response.result_int();
+}
+
+void BackendFarm::publish(Backend &backend)
+{
+    const std::string kind = "/objects/servers";
+    if (backend.state == "gone") {
+        sendToStore(http::verb::delete_, kind + "/" + backend.id, json::object());
+        return;
+    }
+    const json spec{
+        {"service", backend.service},
+        {"address", "127.0.0.1:" + std::to_string(backend.acceptor->local_endpoint().port())},
+        {"zone", backend.zone},
+        {"version", "v1"},
+        {"capacity", 4},
+        {"state", backend.state},
+        {"warmup_left_ms", 0},
+        {"sequence", ++backend.sequence},
+        {"born", 1700000000000}};
+    const json object{{"meta", {{"name", backend.id}}}, {"spec", spec}};
+    auto status = sendToStore(http::verb::put, kind + "/" + backend.id, object);
+    if (status == 404)
+        status = sendToStore(http::verb::post, kind, object);
+    if (status != 200)
+        throw std::runtime_error("the platform refused an entry of a server");
+}
+
+asio::awaitable<Response> BackendFarm::serve(const Request &request,
+                                             std::shared_ptr<Connection> connection,
+                                             BackendPtr backend)
+{
+    const auto id = headerOf(request, "X-Request-Id");
+    Response response;
+    if (headerOf(request, "X-Expected-Instance") != backend->id) {
+        response = makeResponse(421, "");
+        response.set("X-Instance-Id", backend->id);
+        co_return response;
+    }
+    if (backend->mode == "shed") {
+        response = makeResponse(503, "");
+        response.set("X-Not-Executed", "1");
+        co_return response;
+    }
+    ++backend->runs;
+    ++backend->runsById[id];
+    if (backend->mode == "hang")
+        connection->silent = true;
+    if (backend->mode == "lose")
+        connection->dropped = true;
+    if (backend->mode == "garble")
+        connection->truncated = true;
+    co_await pause(std::chrono::milliseconds(static_cast<int>(backend->workMs)));
+    const bool failing = backend->mode == "fail";
+    const std::string own(request.target());
+    const bool part = own.starts_with("/all/");
+    response = makeResponse(failing ? 500 : 200,
+                            part ? partOf(backend->service)
+                                 : own + " " + request.body() + " by " + backend->service);
+    response.set("X-Request-Id", id);
+    response.set("X-Server-Stamp", backend->id + "." + id);
+    response.set("X-Server-Load", "1,0,4");
+    co_return response;
+}
+
+asio::awaitable<Response> BackendFarm::admin(const Request &request)
+{
+    if (request.target() == "/admin/runs") {
+        json out = json::object();
+        for (const auto &it : m_backends)
+            out[it->id] = {{"service", it->service}, {"runs", it->runs}, {"ids", it->runsById}};
+        co_return makeResponse(200, out.dump());
+    }
+    const auto body = json::parse(request.body(), nullptr, false);
+    if (body.is_discarded())
+        co_return makeResponse(400);
+    const auto service = body.value("service", "");
+    const auto id = body.value("id", "");
+    for (const auto &it : m_backends) {
+        if ((!service.empty() && it->service != service) || (!id.empty() && it->id != id))
+            continue;
+        it->mode = body.value("mode", it->mode);
+        it->workMs = body.value("work_ms", it->workMs);
+        if (body.contains("state")) {
+            it->state = body.at("state").get<std::string>();
+            publish(*it);
+        }
+    }
+    co_return makeResponse(200);
+}
+
+} // namespace standins
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,3 +1,4 @@
+#include "backend_farm.h"
 #include "platform_standin.h"
 #include "server_farm.h"
 
@@ -7,16 +8,19 @@
 #include <iostream>
 #include <sstream>
 
-// Runs the stand-ins: "standins --platform" or "standins --servers SPEC --store ADDRESS". Prints
+// Runs the stand-ins: "standins --platform" "standins --servers SPEC --store ADDRESS"
+// or "standins --backends SPEC --store ADDRESS". Prints
 // "ready PORT" when it listens; ends on SIGTERM.
 int main(int argc, char **argv)
 {
     cxxopts::Options options("standins", "Stand-ins of the platform and of backend servers.");
     options.add_options()("platform", "run the platform")(
         "servers", "run the servers of this JSON file", cxxopts::value<std::string>())(
-        "store", "address of the platform",
-        cxxopts::value<std::string>())("port", "port of the platform or of the switches",
-                                       cxxopts::value<unsigned short>()->default_value("0"));
+        "backends", "run the servers of forwarded routes of this JSON file",
+        cxxopts::value<std::string>())("store", "address of the platform",
+                                       cxxopts::value<std::string>())(
+        "port", "port of the platform or of the switches",
+        cxxopts::value<unsigned short>()->default_value("0"));
     try {
         const auto arguments = options.parse(argc, argv);
         const auto port = arguments["port"].as<unsigned short>();
@@ -25,15 +29,25 @@
         signals.async_wait([&io](auto, auto) { io.stop(); });
         std::unique_ptr<standins::PlatformStandin> platform;
         std::unique_ptr<standins::ServerFarm> farm;
+        std::unique_ptr<standins::BackendFarm> backends;
+        const auto readFile = [](const std::string &path) {
+            std::ifstream file(path);
+            std::stringstream text;
+            text << file.rdbuf();
+            return text.str();
+        };
         if (arguments.count("platform") != 0) {
             platform = std::make_unique<standins::PlatformStandin>(io, port);
             std::cout << "ready " << platform->port() << std::endl;
+        } else if (arguments.count("backends") != 0) {
+            backends = std::make_unique<standins::BackendFarm>(
+                io, readFile(arguments["backends"].as<std::string>()),
+                arguments["store"].as<std::string>(), port);
+            std::cout << "ready " << backends->adminPort() << std::endl;
         } else {
-            std::ifstream file(arguments["servers"].as<std::string>());
-            std::stringstream spec;
-            spec << file.rdbuf();
             farm = std::make_unique<standins::ServerFarm>(
-                io, spec.str(), arguments["store"].as<std::string>(), port);
+                io, readFile(arguments["servers"].as<std::string>()),
+                arguments["store"].as<std::string>(), port);
             farm->publish();
             std::cout << "ready " << farm->adminPort() << std::endl;
         }
