--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	git ls-files '*.cpp' '*.h' | grep -v /generated/ | xargs clang-format --dry-run --Werror
 
 lint: build
-	git ls-files 'packages/*.cpp' | grep -v /generated/ | \
+	git ls-files 'packages/*.cpp' 'platform/*.cpp' | grep -v /generated/ | \
 		xargs -P 8 -n 4 clang-tidy -p $(BUILD) --quiet --warnings-as-errors='*'
 
 generate:
--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -381,11 +381,12 @@
     for (const auto &it : m_impl->byId) {
         const auto &connection = it.second;
         const bool connecting = connection->state == Connection::State::Connecting;
-        if (now >= connection->request.giveUpAt)
+        const bool expired = now >= connection->request.giveUpAt;
+        const bool unopened = connecting && now - connection->since > m_impl->options.connectTime;
+        if (expired || unopened) {
             late.emplace_back(connection,
                               connecting ? ExchangeEnd::NotReached : ExchangeEnd::TimedOut);
-        else if (connecting && now - connection->since > m_impl->options.connectTime)
-            late.emplace_back(connection, ExchangeEnd::NotReached);
+        }
     }
     for (const auto &it : late)
         m_impl->end(it.first, it.second);
--- a/packages/adapters/loop/front_server.cpp
+++ b/packages/adapters/loop/front_server.cpp
@@ -26,7 +26,7 @@
 // no further system call.
 constexpr std::size_t readBytes = 1024;
 // Bytes of pipelined requests that are kept while one is answered.
-constexpr std::size_t pipelineBytes = 64 * 1024;
+constexpr std::size_t pipelineBytes = 64UL * 1024;
 // Time in which a caller must take its answer.
 constexpr core::Millis writeTime{10000};
 // Time in which a refused caller may read the refusal before its unsent bytes are cut off.
@@ -269,12 +269,13 @@
         auto &message = session->parser->get();
         call.request.method = std::string(message.method_string());
         call.request.target = std::string(message.target());
-        for (const auto &it : message)
+        for (const auto &it : message) {
             call.request.headers.push_back(
                 {std::string(it.name_string()), std::string(it.value())});
+        }
         call.request.body = std::move(message.body());
         call.respond = [this, weak = std::weak_ptr<Session>(session),
-                        id = session->call](ports::Outgoing answer) {
+                        id = session->call](const ports::Outgoing &answer) {
             const auto target = weak.lock();
             if (target && target->state == SessionState::Answering && target->call == id)
                 write(target, answer, target->parser->get().keep_alive() && !finishing);
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -23,7 +23,7 @@
 constexpr logging::LogChannel log("peers:");
 
 // Largest datagram that is taken.
-constexpr std::size_t datagramBytes = 60 * 1024;
+constexpr std::size_t datagramBytes = 60UL * 1024;
 // Members up to which whole tables travel as datagrams; a record takes about 150 bytes.
 constexpr std::size_t datagramMembers = 100;
 // Largest message over HTTP: a ledger of some hundred thousand keys.
--- a/packages/daemon/engine/engine.cpp
+++ b/packages/daemon/engine/engine.cpp
@@ -101,8 +101,8 @@
 class Engine::Loop
 {
 public:
-    Loop(std::shared_ptr<const adapters::settings::Settings> settings,
-         std::shared_ptr<const policy::once::KeyIssuer> keys)
+    Loop(const std::shared_ptr<const adapters::settings::Settings> &settings,
+         const std::shared_ptr<const policy::once::KeyIssuer> &keys)
         : m_timer(m_io), m_signals(m_io, SIGTERM, SIGINT),
           m_host(settings,
                  policy::membership::MemberTable(selfOf(*settings, *keys),
@@ -128,8 +128,7 @@
           m_stop(
               m_host, m_peers, m_queries, m_requests, m_link,
               [this] { m_callers.finishConnections(); }, [this] { m_io.stop(); }),
-          m_routes(m_board, std::move(keys),
-                   static_cast<std::size_t>(settings->callers.entryPoints.value),
+          m_routes(m_board, keys, static_cast<std::size_t>(settings->callers.entryPoints.value),
                    settings->callers.keyLifeMs.millis()),
           m_callers(m_io, settings->listen.callers.value, callerLimits(*settings), callerHooks()),
           m_control(m_io, settings->listen.control.value, {}, controlHooks())
@@ -322,9 +321,9 @@
     TimePoint m_armedAt = TimePoint::max();
 };
 
-Engine::Engine(std::shared_ptr<const adapters::settings::Settings> settings,
-               std::shared_ptr<const policy::once::KeyIssuer> keys)
-    : m_loop(std::make_unique<Loop>(std::move(settings), std::move(keys)))
+Engine::Engine(const std::shared_ptr<const adapters::settings::Settings> &settings,
+               const std::shared_ptr<const policy::once::KeyIssuer> &keys)
+    : m_loop(std::make_unique<Loop>(settings, keys))
 { }
 
 Engine::~Engine() = default;
--- a/packages/daemon/engine/engine.h
+++ b/packages/daemon/engine/engine.h
@@ -14,8 +14,8 @@
 {
 public:
     // Precondition: the settings are checked. Throws std::exception if it cannot listen.
-    Engine(std::shared_ptr<const adapters::settings::Settings> settings,
-           std::shared_ptr<const policy::once::KeyIssuer> keys);
+    Engine(const std::shared_ptr<const adapters::settings::Settings> &settings,
+           const std::shared_ptr<const policy::once::KeyIssuer> &keys);
     ~Engine();
     Engine(const Engine &) = delete;
     Engine &operator=(const Engine &) = delete;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -206,15 +206,15 @@
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end())
         return;
-    auto attempt = std::move(it->second);
+    const auto attempt = std::move(it->second);
     m_attempts.erase(it);
     m_late.erase({attempt.closeAt, id});
     const auto service = attempt.backend->record.service;
-    onResponse(id, std::move(attempt), std::move(result), now);
+    onResponse(id, attempt, std::move(result), now);
     offerRoom(service, now);
 }
 
-void ForwardService::onResponse(policy::forward::AttemptId id, Attempt attempt,
+void ForwardService::onResponse(policy::forward::AttemptId id, const Attempt &attempt,
                                 ports::ExchangeResult result, TimePoint now)
 {
     auto &backend = *attempt.backend;
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -103,7 +103,11 @@
         std::uint64_t call = 0;
         std::size_t part = 0;
 
-        auto operator<=>(const Waiting &) const = default;
+        // A call's rank is its own, so rank and part name an entry.
+        bool operator<(const Waiting &other) const
+        {
+            return rank < other.rank || (!(other.rank < rank) && part < other.part);
+        }
     };
 
     void begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
@@ -121,8 +125,8 @@
                 core::TimePoint now) const;
     void onExchange(policy::forward::AttemptId id, ports::ExchangeResult result,
                     core::TimePoint now);
-    void onResponse(policy::forward::AttemptId id, Attempt attempt, ports::ExchangeResult result,
-                    core::TimePoint now);
+    void onResponse(policy::forward::AttemptId id, const Attempt &attempt,
+                    ports::ExchangeResult result, core::TimePoint now);
     static policy::forward::BackendEnd endOf(const platform::ServerReply &reply);
     static void keepResponse(Running &running, policy::forward::AttemptId id,
                              const platform::ServerReply &reply, ports::ExchangeResult result);
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -29,7 +29,7 @@
         m_client.abort(m_exchange);
         platform::StoreReply silent;
         silent.detail = "no answer in time";
-        onReply(false, std::move(silent), now);
+        onReply(false, silent, now);
     }
     for (const auto &it : m_mirror.takeRemovals(now))
         m_hooks.onRemoved(it, now);
@@ -51,12 +51,12 @@
     ++m_calls;
     m_exchange =
         m_client.send(m_hooks.address(), std::move(request), now,
-                      [this, watching = watch != nullptr](ports::ExchangeResult result) {
+                      [this, watching = watch != nullptr](const ports::ExchangeResult &result) {
                           onReply(watching, platform::readReply(result), core::Clock::now());
                       });
 }
 
-void StoreSync::onReply(bool watching, platform::StoreReply reply, TimePoint now)
+void StoreSync::onReply(bool watching, const platform::StoreReply &reply, TimePoint now)
 {
     m_exchange = 0;
     const bool wasFailing = m_mirror.failing();
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -37,7 +37,7 @@
 
 private:
     void begin(const policy::mirror::Step &step, core::TimePoint now);
-    void onReply(bool watching, platform::StoreReply reply, core::TimePoint now);
+    void onReply(bool watching, const platform::StoreReply &reply, core::TimePoint now);
     void logFailure(const platform::StoreReply &reply);
 
     std::string m_kind;
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -90,7 +91,10 @@
     // Rises with each call.
     std::uint64_t sequence = 0;
 
-    auto operator<=>(const CallRank &) const = default;
+    bool operator<(const CallRank &other) const
+    {
+        return std::tie(priority, sequence) < std::tie(other.priority, other.sequence);
+    }
 };
 
 // State shared by all calls of a host.
