--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -13,6 +13,8 @@
 constexpr double sampleWeight = 0.3;
 constexpr double typicalWeight = 0.05;
 constexpr double failureWeight = 0.25;
+// A single refusal says little: the server may have been full for a moment.
+constexpr double refusalWeight = 0.06;
 // Share of answers that take longer than the latency after which an attempt is hedged.
 constexpr double lateShare = 0.08;
 // Step of the tracked latency for one sample, relative to it.
@@ -37,6 +39,18 @@
 
 } // namespace
 
+double AgingShare::at(TimePoint now, core::Duration halfLife) const
+{
+    return value * halving(core::toMillis(now - knownAt), core::toMillis(halfLife));
+}
+
+void AgingShare::add(bool had, double weight, TimePoint now, core::Duration halfLife)
+{
+    const double before = at(now, halfLife);
+    value = before + weight * ((had ? 1 : 0) - before);
+    knownAt = now;
+}
+
 BackendTable::BackendTable(std::string zone, PlacementLimits limits,
                            std::function<int(const std::string &)> connectionShare,
                            std::function<double()> random)
@@ -126,7 +140,9 @@
     double total = latency * (1 + queued / slots);
     if (backend.record.zone != m_zone)
         total += m_limits.crossZonePenaltyMs;
-    total += backend.failureShare * m_limits.failureCostMs;
+    const double lost = backend.failures.at(now, m_limits.shareHalfLife)
+        + backend.refusals.at(now, m_limits.shareHalfLife);
+    total += lost * m_limits.failureCostMs;
     if (!backend.pending.empty()) {
         const double age = core::toMillis(now - backend.pending.front());
         if (age > stallFactor * latency + stallFloorMs)
@@ -192,12 +208,14 @@
     const double latency = core::toMillis(now - sentAt);
     switch (end) {
     case BackendEnd::Answered:
-        backend.failureShare *= 1 - failureWeight;
+        backend.failures.add(false, failureWeight, now, m_limits.shareHalfLife);
+        backend.refusals.add(false, refusalWeight, now, m_limits.shareHalfLife);
         backend.failuresInRow = 0;
         sample(service, backend, latency, now);
         return;
     case BackendEnd::Refused:
         backend.fullUntil = now + m_limits.fullTime;
+        backend.refusals.add(true, refusalWeight, now, m_limits.shareHalfLife);
         return;
     case BackendEnd::Misdirected:
         backend.listed = false;
@@ -219,7 +237,7 @@
 
 void BackendTable::fail(Backend &backend, TimePoint now, int weight)
 {
-    backend.failureShare += failureWeight * (1 - backend.failureShare);
+    backend.failures.add(true, failureWeight, now, m_limits.shareHalfLife);
     backend.failuresInRow += weight;
     if (backend.failuresInRow < m_limits.failuresToEject)
         return;
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -46,6 +46,17 @@
     Withdrawn,
 };
 
+// Share of attempts with one outcome, which halves with each half-life without news.
+struct AgingShare
+{
+    double value = 0;
+    core::TimePoint knownAt{};
+
+    double at(core::TimePoint now, core::Duration halfLife) const;
+    // Mixes in an attempt that had the outcome, or had not.
+    void add(bool had, double weight, core::TimePoint now, core::Duration halfLife);
+};
+
 // A listed server with its measured state. Owned by the table and by attempts under way.
 struct Backend
 {
@@ -56,7 +67,8 @@
     std::vector<core::TimePoint> pending;
     double latencyMs = 0;
     core::TimePoint sampledAt{};
-    double failureShare = 0;
+    AgingShare failures;
+    AgingShare refusals;
     int failuresInRow = 0;
     core::TimePoint ejectedUntil{};
     // The server refused for want of room until then.
@@ -78,6 +90,8 @@
     double failureCostMs = 60;
     // Time in which a measured latency loses half its weight against the service's typical one.
     core::Duration sampleHalfLife = std::chrono::seconds(2);
+    // Time in which a share of failures or refusals loses half its weight.
+    core::Duration shareHalfLife = std::chrono::seconds(2);
     // Time for which a server that refused counts as full.
     core::Duration fullTime = std::chrono::milliseconds(15);
     core::Duration firstEjection = std::chrono::milliseconds(500);
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -170,3 +170,32 @@
     CHECK(delay >= 9);
     CHECK(delay < 60);
 }
+
+TEST_CASE("a server that refuses half of its requests gets few, and is found again when it recovers")
+{
+    Table table;
+    auto now = start;
+    std::map<std::string, int> counts;
+    const auto play = [&](int n, bool refusing) {
+        counts.clear();
+        for (int i = 0; i < n; ++i) {
+            const auto backend = table.backends.pick("s", {}, now);
+            REQUIRE(backend);
+            const auto &id = backend->record.id;
+            table.backends.sent(*backend, now);
+            const bool refused = refusing && id == "s-a" && ++counts["turns"] % 2 == 0;
+            const auto end = now + (refused ? 1ms : id == "s-a" ? 8ms : 17ms);
+            table.backends.ended(*backend, refused ? BackendEnd::Refused : BackendEnd::Answered,
+                                 now, end);
+            ++counts[id];
+            now = end + 20ms;
+        }
+    };
+    play(50, false);
+    CHECK(counts["s-a"] == 50);
+    play(400, true);
+    CHECK(counts["s-a"] < 100);
+    now += 10s;
+    play(200, false);
+    CHECK(counts["s-a"] > 150);
+}
