--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -456,7 +456,7 @@
     running.waits = any;
     for (std::size_t part = 0; part < services.size(); ++part) {
         const Waiting entry{running.call.rank(), id, part};
-        if (running.call.waitsForRoom(part)) {
+        if (running.call.waitsInLine(part)) {
             m_waiting[services[part]].insert(entry);
         } else {
             m_waiting[services[part]].erase(entry);
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -148,7 +148,13 @@
     const Route &route() const { return m_route; }
     const CallTimes &times() const { return m_times; }
     const std::vector<std::string> &services() const { return m_services; }
-    bool waitsForRoom(std::size_t part) const { return m_parts[part].waiting; }
+    // Tells whether the part waits for any server of its service to have room, so that calls of
+    // lower rank have to wait behind it. A part that waits for the budget, or for a server that it
+    // did not try yet, holds up nobody.
+    bool waitsInLine(std::size_t part) const
+    {
+        return m_parts[part].waiting && m_parts[part].tried.empty();
+    }
     int attempts() const { return m_attemptsSent; }
     // Returns the part of an attempt under way; nothing if it ended or the call did.
     std::optional<std::size_t> partOf(AttemptId attempt) const;
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -231,7 +231,7 @@
     world.full = {world.servers["s"][0], world.servers["s"][1]};
     Run run(world, plainRoute(Repeatability::Idempotent));
     CHECK(run.ends.empty());
-    CHECK(run.call.waitsForRoom(0));
+    CHECK(run.call.waitsInLine(0));
     SECTION("no room")
     {
         CHECK(run.call.nextWake(start) <= start + 20ms);
@@ -294,6 +294,26 @@
     CHECK(world.spent == 0);
 }
 
+TEST_CASE("a part that waits for the budget, or for a server that it did not try, is in no line")
+{
+    World world;
+    world.add("s", 3);
+    world.budgets.try_emplace("s", 0.0, 0);
+    Run run(world, plainRoute(Repeatability::Idempotent));
+    run.reply(0, ReplyKind::NotRun, start + 2ms);
+    REQUIRE(run.ends.empty());
+    CHECK(run.sends.size() == 1);
+    // Others may be sent first attempts, which the budget does not limit.
+    CHECK_FALSE(run.call.waitsInLine(0));
+    CHECK(run.call.nextWake(start + 2ms) <= start + 20ms);
+    SECTION("the budget recovers")
+    {
+        world.budgets.at("s") = policy::retry::Budget(0.2, 1);
+        run.passTime(start + 15ms);
+        CHECK(run.sends.size() == 2);
+    }
+}
+
 // Plays a call against servers whose behaviour follows from the seed and checks what must hold.
 TEST_CASE("calls keep their promises whatever the servers do")
 {
