--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -14,7 +14,7 @@
 constexpr double typicalWeight = 0.05;
 constexpr double failureWeight = 0.25;
 // A single refusal says little: the server may have been full for a moment.
-constexpr double refusalWeight = 0.06;
+constexpr double refusalWeight = 0.12;
 // Share of answers that take longer than the latency after which an attempt is hedged.
 constexpr double lateShare = 0.08;
 // Step of the tracked latency for one sample, relative to it.
@@ -140,9 +140,10 @@
     double total = latency * (1 + queued / slots);
     if (backend.record.zone != m_zone)
         total += m_limits.crossZonePenaltyMs;
-    const double lost = backend.failures.at(now, m_limits.shareHalfLife)
-        + backend.refusals.at(now, m_limits.shareHalfLife);
-    total += lost * m_limits.failureCostMs;
+    total += backend.failures.at(now, m_limits.failureHalfLife) * m_limits.failureCostMs;
+    // A refusal now and then is the way of a busy server; many use up the budget of retries.
+    const double refused = backend.refusals.at(now, m_limits.refusalHalfLife);
+    total += refused * refused * m_limits.refusalCostMs;
     if (!backend.pending.empty()) {
         const double age = core::toMillis(now - backend.pending.front());
         if (age > stallFactor * latency + stallFloorMs)
@@ -208,14 +209,14 @@
     const double latency = core::toMillis(now - sentAt);
     switch (end) {
     case BackendEnd::Answered:
-        backend.failures.add(false, failureWeight, now, m_limits.shareHalfLife);
-        backend.refusals.add(false, refusalWeight, now, m_limits.shareHalfLife);
+        backend.failures.add(false, failureWeight, now, m_limits.failureHalfLife);
+        backend.refusals.add(false, refusalWeight, now, m_limits.refusalHalfLife);
         backend.failuresInRow = 0;
         sample(service, backend, latency, now);
         return;
     case BackendEnd::Refused:
         backend.fullUntil = now + m_limits.fullTime;
-        backend.refusals.add(true, refusalWeight, now, m_limits.shareHalfLife);
+        backend.refusals.add(true, refusalWeight, now, m_limits.refusalHalfLife);
         return;
     case BackendEnd::Misdirected:
         backend.listed = false;
@@ -237,7 +238,7 @@
 
 void BackendTable::fail(Backend &backend, TimePoint now, int weight)
 {
-    backend.failures.add(true, failureWeight, now, m_limits.shareHalfLife);
+    backend.failures.add(true, failureWeight, now, m_limits.failureHalfLife);
     backend.failuresInRow += weight;
     if (backend.failuresInRow < m_limits.failuresToEject)
         return;
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -90,8 +90,11 @@
     double failureCostMs = 60;
     // Time in which a measured latency loses half its weight against the service's typical one.
     core::Duration sampleHalfLife = std::chrono::seconds(2);
-    // Time in which a share of failures or refusals loses half its weight.
-    core::Duration shareHalfLife = std::chrono::seconds(2);
+    // Cost of a server that refuses all, in ms: above that of any queue that is worth joining.
+    double refusalCostMs = 250;
+    // Time in which a share of failures, or of refusals, loses half its weight.
+    core::Duration failureHalfLife = std::chrono::seconds(2);
+    core::Duration refusalHalfLife = std::chrono::seconds(5);
     // Time for which a server that refused counts as full.
     core::Duration fullTime = std::chrono::milliseconds(15);
     core::Duration firstEjection = std::chrono::milliseconds(500);
