--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -46,6 +46,8 @@
 constexpr std::string_view metricsPath = "/v1/metrics";
 // Hosts that a caller is told of.
 constexpr std::size_t addressesAtMost = 8;
+// Addresses that a caller is told of at least, if there are as many hosts.
+constexpr std::size_t fewestAddresses = 2;
 // Part of the fleet's budget of extra attempts that is used; the rest covers hosts that restart
 // with a full one.
 constexpr double budgetShare = 0.9;
@@ -244,8 +246,9 @@
                                         [this](unsigned n) { return below(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
-            // Callers choose at random, so other zones are told of only when the own has none.
-            if (it.zone == chosen.front().zone)
+            // Callers choose at random, so other zones only fill up to the fewest that a caller
+            // needs to get past a dead host.
+            if (it.zone == question.zone || addresses.size() < fewestAddresses)
                 addresses.push_back(it.callersAddress);
         }
         if (addresses.empty()) {
