--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -171,7 +171,8 @@
     CHECK(delay < 60);
 }
 
-TEST_CASE("a server that refuses half of its requests gets few, and is found again when it recovers")
+TEST_CASE(
+    "a server that refuses half of its requests gets few, and is found again when it recovers")
 {
     Table table;
     auto now = start;
