--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -69,7 +69,9 @@
               m_settings->host.zone.value, {},
               [this](const std::string &service) { return connectionShare(service); },
               [this] { return uniform(); }),
-          m_forward(forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); }),
+          m_forward(
+              forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); },
+              [this] { return m_copy.serversKnown(); }),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_copy(m_storeClient, m_backends, m_link, copyHooks()),
@@ -237,7 +239,10 @@
         return {200, {{"Content-Type", "text/plain"}}, printMetrics(gauges, m_forward.counters())};
     }
 
-    bool ready() const { return !m_stopping && m_forward.routes() != nullptr; }
+    bool ready() const
+    {
+        return !m_stopping && m_forward.routes() != nullptr && m_copy.serversKnown();
+    }
 
     ports::Outgoing resolve(const platform::ResolveQuestion &question)
     {
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -55,8 +55,9 @@
 
 ForwardService::ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                                adapters::loop::ExchangeClient &client,
-                               std::function<double()> random)
-    : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random))
+                               std::function<double()> random, std::function<bool()> serversKnown)
+    : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random)),
+      m_serversKnown(std::move(serversKnown))
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -66,7 +67,7 @@
         return m_backends.pick(service, exclude, now);
     };
     m_hooks.hasUsable = [this](const std::string &service, const auto &exclude, TimePoint now) {
-        return m_backends.hasUsable(service, exclude, now);
+        return m_backends.hasUsable(service, exclude, now) || !m_serversKnown();
     };
     m_hooks.spend = [this](const std::string &service, TimePoint) {
         return budget(service).spend();
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -39,9 +39,11 @@
 class ForwardService
 {
 public:
-    // `random` returns a uniform number in [0, 1).
+    // `random` returns a uniform number in [0, 1). `serversKnown` tells whether the list of servers
+    // is complete: until then a service without a server may still get one.
     ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
-                   adapters::loop::ExchangeClient &client, std::function<double()> random);
+                   adapters::loop::ExchangeClient &client, std::function<double()> random,
+                   std::function<bool()> serversKnown);
 
     // Takes routes; calls under way keep theirs.
     void setRoutes(policy::forward::RouteTablePtr table);
@@ -143,6 +145,7 @@
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
     std::function<double()> m_random;
+    std::function<bool()> m_serversKnown;
     policy::forward::RouteTablePtr m_table;
     policy::forward::SplitChooser m_split;
     policy::forward::PatienceTracker m_patience;
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -147,8 +147,10 @@
     }
     if (copy.kind == DocumentKind::Lists)
         return takeConfig(parsed, "peer");
-    if (!m_servers.mirror().complete())
-        m_serverList.borrow(parsed);
+    if (m_servers.mirror().complete())
+        return;
+    m_serverList.borrow(parsed);
+    m_borrowed = true;
 }
 
 ports::FetchAnswer PlatformCopy::answer(DocumentKind kind) const
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -43,6 +43,8 @@
     // Returns a copy for another host.
     ports::FetchAnswer answer(ports::DocumentKind kind) const;
 
+    // Tells whether the servers are known, from the store or from another host.
+    bool serversKnown() const { return m_listed || m_borrowed; }
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
     std::uint64_t storeCalls() const { return m_config.calls() + m_servers.calls(); }
     bool storeReached() const;
@@ -70,6 +72,8 @@
     core::TimePoint m_behindSince{};
     // Servers were listed by the store since the start.
     bool m_listed = false;
+    // Servers were taken from another host.
+    bool m_borrowed = false;
 };
 
 } // namespace goldcrestline::daemon::forward
--- a/tests/process/routes_test.cpp
+++ b/tests/process/routes_test.cpp
@@ -292,3 +292,30 @@
     CHECK(statuses.begin()->first == 200);
     CHECK(sender.cut() == 0);
 }
+
+TEST_CASE("a host that starts is ready when it knows its servers and fails nothing before",
+          "[process][routes]")
+{
+    RoutedCluster cluster(1);
+    cluster.host(0).process->signal(SIGKILL);
+    cluster.host(0).process->wait();
+    // The list of servers takes ten pages, so that the configuration is known long before it.
+    cluster.setPlatform({{"page_size", 2}, {"slow_ms", 120}});
+    cluster.start(0);
+    int early = 0;
+    const bool ready = eventually(
+        [&] {
+            const bool isReady = cluster.ready(0);
+            const auto result = cluster.ask(0, "/all/x", "e" + std::to_string(early++));
+            CAPTURE(result.status);
+            // Nothing ran, and that is what callers are told.
+            CHECK((result.status == 200 || result.status == 503));
+            return isReady;
+        },
+        10);
+    CHECK(ready);
+    CHECK(early > 3);
+    const auto result = cluster.ask(0, "/all/x", "after");
+    CHECK(result.status == 200);
+    CHECK(headerOf(result, "x-missing-parts") == "0");
+}
