Revert the pause on new connections to servers that have none left

The resets come from the attempts that look for room, each of which is a request's; a connection that is opened ahead, without a request, would tell the same for nothing.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -58,8 +58,6 @@
     bool anySent = false;
     // An answer of another request was seen, so the connection must not be used again.
     bool suspect = false;
-    // The exchange under way is the connection's first.
-    bool first = true;
     TimePoint since{};
     TimePoint usableUntil = TimePoint::max();
 };
@@ -281,8 +279,6 @@
         if (accept && !accept(result.status, result.headers))
             return end(connection, ExchangeEnd::Broken);
         result.closing = !response.keep_alive();
-        result.newConnection = connection->first;
-        connection->first = false;
         result.body = std::move(response.body());
         const auto now = core::Clock::now();
         auto done = std::move(connection->done);
@@ -316,7 +312,6 @@
         close(connection);
         ports::ExchangeResult result;
         result.end = why;
-        result.newConnection = connection->first;
         if (done)
             done(std::move(result));
     }
@@ -417,12 +412,6 @@
         m_impl->close(connection);
 }
 
-std::size_t ExchangeClient::idle(const std::string &address) const
-{
-    const auto it = m_impl->pool.find(address);
-    return it == m_impl->pool.end() ? 0 : it->second.size();
-}
-
 std::uint64_t ExchangeClient::opened() const
 {
     return m_impl->opened;
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -48,9 +48,6 @@
     // Closes all idle connections to an address.
     void forget(const std::string &address);
 
-    // Connections to an address on which a request can be sent at once.
-    std::size_t idle(const std::string &address) const;
-
     // Connections opened so far.
     std::uint64_t opened() const;
 
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -68,7 +68,6 @@
           m_backends(
               m_settings->host.zone.value, {},
               [this](const std::string &service) { return connectionShare(service); },
-              [this](const std::string &address) { return m_backendClient.idle(address); },
               [this] { return uniform(); }),
           m_forward(
               forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); },
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -224,7 +224,8 @@
     CallActions actions;
     if (result.end != ports::ExchangeEnd::Answered) {
         const bool reached = result.end == ports::ExchangeEnd::Broken;
-        m_backends.ended(backend, endOf(result), attempt.sentAt, now);
+        m_backends.ended(backend, reached ? BackendEnd::Failed : BackendEnd::NotReached,
+                         attempt.sentAt, now);
         if (running == nullptr)
             return;
         running->call.onLoss(id, reached ? AttemptLoss::Broken : AttemptLoss::NotReached, now,
@@ -248,13 +249,6 @@
     apply(attempt.call, actions, now);
 }
 
-BackendEnd ForwardService::endOf(const ports::ExchangeResult &result)
-{
-    if (result.end == ports::ExchangeEnd::NotReached)
-        return BackendEnd::NotReached;
-    return result.newConnection ? BackendEnd::Capped : BackendEnd::Failed;
-}
-
 BackendEnd ForwardService::endOf(const platform::ServerReply &reply)
 {
     if (!reply.usable)
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -130,8 +130,6 @@
     void onResponse(policy::forward::AttemptId id, const Attempt &attempt,
                     ports::ExchangeResult result, core::TimePoint now);
     static policy::forward::BackendEnd endOf(const platform::ServerReply &reply);
-    // Precondition: the exchange was not answered.
-    static policy::forward::BackendEnd endOf(const ports::ExchangeResult &result);
     static void keepResponse(Running &running, policy::forward::AttemptId id,
                              const platform::ServerReply &reply, ports::ExchangeResult result);
     void detach(std::uint64_t id, core::TimePoint closeAt, bool withdrawn);
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -53,10 +53,9 @@
 
 BackendTable::BackendTable(std::string zone, PlacementLimits limits,
                            std::function<int(const std::string &)> connectionShare,
-                           std::function<std::size_t(const std::string &)> idleConnections,
                            std::function<double()> random)
     : m_zone(std::move(zone)), m_limits(limits), m_connectionShare(std::move(connectionShare)),
-      m_idleConnections(std::move(idleConnections)), m_random(std::move(random))
+      m_random(std::move(random))
 { }
 
 void BackendTable::put(const BackendRecord &record)
@@ -115,8 +114,6 @@
 {
     if (backend.fullUntil > now)
         return false;
-    if (backend.cappedUntil > now && m_idleConnections(backend.record.address) == 0)
-        return false;
     const int share = m_connectionShare(backend.record.service);
     // More requests than slots at one server would only wait there.
     const int limit = std::min(share, std::max(backend.record.slots, 2));
@@ -215,7 +212,6 @@
         backend.failures.add(false, failureWeight, now, m_limits.failureHalfLife);
         backend.refusals.add(false, refusalWeight, now, m_limits.refusalHalfLife);
         backend.failuresInRow = 0;
-        backend.cappedFor = {};
         sample(service, backend, latency, now);
         return;
     case BackendEnd::Refused:
@@ -225,11 +221,6 @@
     case BackendEnd::Misdirected:
         backend.listed = false;
         return;
-    case BackendEnd::Capped:
-        backend.cappedFor =
-            std::clamp(2 * backend.cappedFor, m_limits.firstCap, m_limits.longestCap);
-        backend.cappedUntil = now + backend.cappedFor;
-        return;
     case BackendEnd::Failed:
         fail(backend, now, 1);
         return;
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -38,8 +38,6 @@
     Misdirected,
     // The server failed the request, or its answer is unusable.
     Failed,
-    // A new connection broke before it answered: the server may have no connection left.
-    Capped,
     // No connection could be made.
     NotReached,
     // Given up while the server was silent.
@@ -75,9 +73,6 @@
     core::TimePoint ejectedUntil{};
     // The server refused for want of room until then.
     core::TimePoint fullUntil{};
-    // No new connection is opened until then, and the pause that led to it.
-    core::TimePoint cappedUntil{};
-    core::Duration cappedFor{};
     // Requests running and waiting in excess of the slots, as the server told.
     double reportedExcess = 0;
     core::TimePoint reportedAt{};
@@ -102,10 +97,6 @@
     core::Duration refusalHalfLife = std::chrono::seconds(5);
     // Time for which a server that refused counts as full.
     core::Duration fullTime = std::chrono::milliseconds(15);
-    // Pauses between new connections to a server that has none left: about the time in which it
-    // serves those that it has, up to a share of the time after which it closes idle ones.
-    core::Duration firstCap = std::chrono::milliseconds(200);
-    core::Duration longestCap = std::chrono::milliseconds(1600);
     core::Duration firstEjection = std::chrono::milliseconds(500);
     core::Duration longestEjection = std::chrono::seconds(4);
     int failuresToEject = 3;
@@ -116,11 +107,9 @@
 {
 public:
     // `connectionShare` returns how many requests this host may have at one server of a service;
-    // `idleConnections` returns how many can be sent to an address without a new connection;
     // `random` returns a uniform number in [0, 1).
     BackendTable(std::string zone, PlacementLimits limits,
                  std::function<int(const std::string &service)> connectionShare,
-                 std::function<std::size_t(const std::string &address)> idleConnections,
                  std::function<double()> random);
 
     // Takes a listed server; a new start time or address makes it a new one.
@@ -184,7 +173,6 @@
     std::string m_zone;
     PlacementLimits m_limits;
     std::function<int(const std::string &)> m_connectionShare;
-    std::function<std::size_t(const std::string &)> m_idleConnections;
     std::function<double()> m_random;
     std::unordered_map<std::string, Service> m_services;
     std::unordered_map<std::string, BackendPtr> m_byId;
--- a/packages/ports/exchange.h
+++ b/packages/ports/exchange.h
@@ -90,8 +90,6 @@
     std::string body;
     // The server asked to close the connection.
     bool closing = false;
-    // The connection was opened for this exchange.
-    bool newConnection = false;
 };
 
 using ExchangeId = std::uint64_t;
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -26,12 +26,8 @@
 struct Table
 {
     int share = 2;
-    std::size_t idle = 0;
-    BackendTable backends{"a",
-                          {},
-                          [this](const std::string &) { return share; },
-                          [this](const std::string &) { return idle; },
-                          [] { return 0.5; }};
+    BackendTable backends{
+        "a", {}, [this](const std::string &) { return share; }, [] { return 0.5; }};
 
     Table()
     {
@@ -204,31 +200,3 @@
     play(200, false);
     CHECK(counts["s-a"] > 150);
 }
-
-TEST_CASE("a server without connections left gets no new ones for growing times")
-{
-    Table table;
-    table.backends.remove("s-b");
-    table.backends.remove("s-c");
-    auto now = start;
-    core::Duration last{};
-    for (int i = 0; i < 3; ++i) {
-        const auto backend = table.backends.pick("s", {}, now);
-        REQUIRE(backend);
-        table.backends.sent(*backend, now);
-        table.backends.ended(*backend, BackendEnd::Capped, now, now);
-        CHECK_FALSE(table.backends.pick("s", {}, now + 150ms));
-        // It is full rather than gone: requests may wait for it, and kept connections serve.
-        CHECK(table.backends.hasUsable("s", {}, now + 150ms));
-        table.idle = 1;
-        CHECK(table.backends.pick("s", {}, now + 150ms));
-        table.idle = 0;
-        CHECK(backend->cappedUntil - now > last);
-        last = backend->cappedUntil - now;
-        now = backend->cappedUntil;
-    }
-    const auto backend = table.backends.pick("s", {}, now);
-    table.backends.sent(*backend, now);
-    table.backends.ended(*backend, BackendEnd::Answered, now, now + 5ms);
-    CHECK(table.backends.pick("s", {}, now + 5ms));
-}
