Run one membership service in both kinds of host

The exchange of gossip and probes stood twice, in the engine's peer service and in the forwarding host; both use daemon/peers/membership now.

--- a/packages/daemon/engine/peer_service.h
+++ b/packages/daemon/engine/peer_service.h
@@ -5,6 +5,7 @@
 #include "daemon/engine/plan_limits.h"
 #include "daemon/engine/query_service.h"
 #include "daemon/engine/request_service.h"
+#include "daemon/peers/membership.h"
 #include "ports/peer_link.h"
 
 namespace goldcrestline::daemon::engine {
@@ -27,28 +28,25 @@
     void handle(ports::PeerCall call, core::TimePoint now);
 
 private:
-    ports::Gossip gossip(bool wholeTable, core::TimePoint now);
-    void exchange(const std::string &name, const std::string &address, bool wholeTable,
-                  core::TimePoint now);
-    void onExchanged(const std::string &name, const std::string &address, core::TimePoint sentAt,
-                     const ports::PeerResult &result);
-    void probeIndirectly(const policy::membership::IndirectProbe &probe);
-    void apply(const std::vector<policy::membership::Action> &actions, core::TimePoint now);
-    void takeNews(const ports::Gossip &news, core::TimePoint now);
-
-    void answer(ports::Gossip &request, ports::PeerCall &call, core::TimePoint now);
-    void answer(ports::ProbeRequest &request, ports::PeerCall &call, core::TimePoint now);
+    peers::Membership::Hooks membershipHooks();
+    void describe(ports::Gossip &gossip, core::TimePoint now) const;
+    void takeNews(const ports::Gossip &news, const policy::membership::Member &from,
+                  std::optional<core::TimePoint> askedAt);
+
+    // Taken by the membership before.
+    void answer(ports::Gossip &, ports::PeerCall &, core::TimePoint) { }
+    void answer(ports::ProbeRequest &, ports::PeerCall &, core::TimePoint) { }
     void answer(ports::FetchRequest &request, ports::PeerCall &call, core::TimePoint now);
     void answer(ports::RunRequest &request, ports::PeerCall &call, core::TimePoint now);
     void answer(ports::BorrowRequest &request, ports::PeerCall &call, core::TimePoint now);
     void answer(ports::AdoptRequest &request, ports::PeerCall &call, core::TimePoint now);
 
     HostState &m_host;
-    ports::PeerLink &m_link;
     DocumentSync &m_documents;
     QueryService &m_queries;
     RequestService &m_requests;
     PlanLimits &m_limits;
+    peers::Membership m_membership;
 };
 
 } // namespace goldcrestline::daemon::engine
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -7,9 +7,9 @@
 #include "core/result_code.h"
 #include "daemon/forward/forward_service.h"
 #include "daemon/forward/host_registry.h"
-#include "daemon/forward/membership.h"
 #include "daemon/forward/metrics.h"
 #include "daemon/forward/platform_copy.h"
+#include "daemon/peers/membership.h"
 #include "platform/dialect.h"
 #include "policy/entrypoints/entry_points.h"
 
@@ -74,10 +74,9 @@
               [this] { return m_copy.serversKnown(); }),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
-          m_copy(m_storeClient, m_backends, m_link, copyHooks()),
-          m_membership(memberTable(), m_settings->peers.periodMs.millis(), m_link,
-                       membershipHooks()),
-          m_registry(m_membership.table().self(), m_storeClient, registryHooks()),
+          m_copy(m_storeClient, m_backends, m_link, copyHooks()), m_members(memberTable()),
+          m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
+          m_registry(m_members.self(), m_storeClient, registryHooks()),
           m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
           m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
@@ -170,16 +169,16 @@
 
     HostRegistry::Hooks registryHooks()
     {
-        return {[this] { return m_settings->platform.address.value; },
-                [this](const std::vector<std::string> &addresses) {
-                    m_membership.table().addSeeds(addresses);
-                }};
+        return {
+            [this] { return m_settings->platform.address.value; },
+            [this](const std::vector<std::string> &addresses) { m_members.addSeeds(addresses); }};
     }
 
-    Membership::Hooks membershipHooks()
+    peers::Membership::Hooks membershipHooks()
     {
         return {[this](ports::Gossip &gossip, TimePoint) { m_copy.describe(gossip); },
                 [this](const ports::Gossip &news, const policy::membership::Member &from,
+                       std::optional<TimePoint>,
                        TimePoint now) { m_copy.takeNews(news, from.peersAddress, now); }};
     }
 
@@ -230,7 +229,7 @@
     {
         HostGauges gauges;
         gauges.version = m_copy.version();
-        gauges.members = m_membership.table().live().size();
+        gauges.members = m_members.live().size();
         gauges.running = m_forward.running();
         gauges.storeCalls = m_copy.storeCalls();
         gauges.storeReached = m_copy.storeReached();
@@ -247,7 +246,7 @@
     ports::Outgoing resolve(const platform::ResolveQuestion &question)
     {
         const auto chosen =
-            policy::entrypoints::choose(m_membership.table().all(), question.zone, addressesAtMost,
+            policy::entrypoints::choose(m_members.all(), question.zone, addressesAtMost,
                                         [this](unsigned n) { return below(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
@@ -301,7 +300,7 @@
             return;
         }
         m_settings = std::move(settings.value());
-        m_membership.table().addSeeds(seeds());
+        m_members.addSeeds(seeds());
         log.info("settings reloaded");
     }
 
@@ -311,7 +310,8 @@
             return;
         m_stopping = true;
         log.info("stopping running=" + std::to_string(m_forward.running()));
-        m_membership.leave(now);
+        m_members.setLeaving();
+        m_membership.exchangeWithAll(now);
         m_callers.finishConnections();
         m_drainedAt = now + keptAtMost * m_settings->forward.keepMs.millis();
         const std::chrono::duration<double> grace(m_settings->forward.graceS.value);
@@ -392,7 +392,8 @@
     ForwardService m_forward;
     adapters::peers::LoopPeerLink m_link;
     PlatformCopy m_copy;
-    Membership m_membership;
+    policy::membership::MemberTable m_members;
+    peers::Membership m_membership;
     HostRegistry m_registry;
     FrontServer m_callers;
     FrontServer m_directory;
--- a/packages/daemon/forward/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -1,8 +1,8 @@
-#include "daemon/forward/membership.h"
+#include "daemon/peers/membership.h"
 
 #include "adapters/logging/log.h"
 
-namespace goldcrestline::daemon::forward {
+namespace goldcrestline::daemon::peers {
 
 using core::TimePoint;
 using ports::PeerEnd;
@@ -13,9 +13,9 @@
 
 } // namespace
 
-Membership::Membership(policy::membership::MemberTable table, core::Millis period,
+Membership::Membership(policy::membership::MemberTable &table, core::Millis period,
                        ports::PeerLink &link, Hooks hooks)
-    : m_table(std::move(table)), m_period(period), m_link(link), m_hooks(std::move(hooks))
+    : m_table(table), m_period(period), m_link(link), m_hooks(std::move(hooks))
 { }
 
 void Membership::tick(TimePoint now)
@@ -23,9 +23,8 @@
     apply(m_table.tick(now), now);
 }
 
-void Membership::leave(TimePoint now)
+void Membership::exchangeWithAll(TimePoint now)
 {
-    m_table.setLeaving();
     for (const auto &it : m_table.live()) {
         if (it.name != m_table.self().name)
             exchange("", it.peersAddress, false, now);
@@ -59,7 +58,7 @@
                           TimePoint now)
 {
     m_link.call(address, gossip(wholeTable, now), m_period,
-                [this, name](const ports::PeerResult &result) {
+                [this, name, askedAt = now](const ports::PeerResult &result) {
                     const auto at = core::Clock::now();
                     if (result.end != PeerEnd::Answered) {
                         if (!name.empty())
@@ -69,13 +68,14 @@
                     const auto &news = std::get<ports::Gossip>(result.answer);
                     if (news.from == m_table.self().name)
                         return;
-                    takeNews(news, at);
+                    takeNews(news, askedAt, at);
                     if (!name.empty())
                         m_table.onProbeEnd(name, true, at);
                 });
 }
 
-void Membership::takeNews(const ports::Gossip &news, TimePoint now)
+void Membership::takeNews(const ports::Gossip &news, std::optional<TimePoint> askedAt,
+                          TimePoint now)
 {
     const int changed = m_table.onUpdates(news.members, now);
     if (changed > 0) {
@@ -83,7 +83,7 @@
                  + " live=" + std::to_string(m_table.live().size()));
     }
     if (const auto *sender = m_table.find(news.from))
-        m_hooks.onNews(news, *sender, now);
+        m_hooks.onNews(news, *sender, askedAt, now);
 }
 
 void Membership::probeFor(const policy::membership::IndirectProbe &probe)
@@ -99,7 +99,7 @@
 void Membership::handle(ports::PeerCall call, TimePoint now)
 {
     if (const auto *news = std::get_if<ports::Gossip>(&call.request)) {
-        takeNews(*news, now);
+        takeNews(*news, std::nullopt, now);
         return call.reply(gossip(news->wholeTable, now));
     }
     const auto *probe = std::get_if<ports::ProbeRequest>(&call.request);
@@ -113,4 +113,4 @@
                 });
 }
 
-} // namespace goldcrestline::daemon::forward
+} // namespace goldcrestline::daemon::peers
--- a/packages/daemon/forward/membership.h
+++ b/packages/daemon/peers/membership.h
@@ -5,9 +5,10 @@
 #include "ports/peer_link.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
-namespace goldcrestline::daemon::forward {
+namespace goldcrestline::daemon::peers {
 
 // Keeps the table of hosts by exchanging gossip with them. Not thread-safe: lives on the loop.
 class Membership
@@ -17,26 +18,25 @@
     {
         // Fills in what this host tells of its own copies of configuration and servers.
         std::function<void(ports::Gossip &, core::TimePoint now)> describe;
-        // Takes what a host tells of its copies.
+        // Takes what a host tells of its copies. `askedAt` is when this host asked for it; nothing
+        // if the other host told it by itself.
         std::function<void(const ports::Gossip &, const policy::membership::Member &from,
-                           core::TimePoint now)>
+                           std::optional<core::TimePoint> askedAt, core::TimePoint now)>
             onNews;
     };
 
-    Membership(policy::membership::MemberTable table, core::Millis period, ports::PeerLink &link,
+    // Precondition: the table and the link outlive this.
+    Membership(policy::membership::MemberTable &table, core::Millis period, ports::PeerLink &link,
                Hooks hooks);
 
     // Runs one period of the protocol.
     void tick(core::TimePoint now);
 
-    // Answers another host.
+    // Answers another host. Precondition: the request is a Gossip or a ProbeRequest.
     void handle(ports::PeerCall call, core::TimePoint now);
 
-    // Tells all hosts at once that this one is stopping.
-    void leave(core::TimePoint now);
-
-    policy::membership::MemberTable &table() { return m_table; }
-    const policy::membership::MemberTable &table() const { return m_table; }
+    // Tells all living hosts the news at once, as when this one stops.
+    void exchangeWithAll(core::TimePoint now);
 
 private:
     ports::Gossip gossip(bool wholeTable, core::TimePoint now);
@@ -44,12 +44,13 @@
                   core::TimePoint now);
     void apply(const std::vector<policy::membership::Action> &actions, core::TimePoint now);
     void probeFor(const policy::membership::IndirectProbe &probe);
-    void takeNews(const ports::Gossip &news, core::TimePoint now);
+    void takeNews(const ports::Gossip &news, std::optional<core::TimePoint> askedAt,
+                  core::TimePoint now);
 
-    policy::membership::MemberTable m_table;
+    policy::membership::MemberTable &m_table;
     core::Millis m_period;
     ports::PeerLink &m_link;
     Hooks m_hooks;
 };
 
-} // namespace goldcrestline::daemon::forward
+} // namespace goldcrestline::daemon::peers
