Hedge by the latencies of each route, pooled over its shards

Cause: the time after which an attempt is hedged was tracked for each service.

BackendTable::typicalMs, which nothing called, is gone.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -73,9 +73,7 @@
         return budget(service).spend();
     };
     m_hooks.earn = [this](const std::string &service, TimePoint) { budget(service).earn(); };
-    m_hooks.hedgeDelay = [this](const std::string &service) {
-        return m_backends.hedgeDelay(service);
-    };
+    m_hooks.hedgeDelay = [this](const std::string &route) { return m_lateness.hedgeDelay(route); };
     m_hooks.nextAttempt = [this] { return ++m_lastAttempt; };
 }
 
@@ -192,6 +190,7 @@
     m_backends.sent(*order.backend, now);
     auto &attempt = m_attempts[order.attempt];
     attempt.call = id;
+    attempt.route = running.call.route().name;
     attempt.backend = order.backend;
     attempt.sentAt = now;
     attempt.exchange =
@@ -224,8 +223,7 @@
     CallActions actions;
     if (result.end != ports::ExchangeEnd::Answered) {
         const bool reached = result.end == ports::ExchangeEnd::Broken;
-        m_backends.ended(backend, reached ? BackendEnd::Failed : BackendEnd::NotReached,
-                         attempt.sentAt, now);
+        learn(attempt, reached ? BackendEnd::Failed : BackendEnd::NotReached, now);
         if (running == nullptr)
             return;
         running->call.onLoss(id, reached ? AttemptLoss::Broken : AttemptLoss::NotReached, now,
@@ -237,7 +235,7 @@
         m_backends.reported(backend, reply.load->running, reply.load->waiting, reply.load->slots,
                             now);
     }
-    m_backends.ended(backend, endOf(reply), attempt.sentAt, now);
+    learn(attempt, endOf(reply), now);
     if (running == nullptr)
         return;
     if (!reply.usable) {
@@ -249,6 +247,13 @@
     apply(attempt.call, actions, now);
 }
 
+void ForwardService::learn(const Attempt &attempt, BackendEnd end, TimePoint now)
+{
+    m_backends.ended(*attempt.backend, end, attempt.sentAt, now);
+    if (end == BackendEnd::Answered || end == BackendEnd::Abandoned)
+        m_lateness.add(attempt.route, now - attempt.sentAt);
+}
+
 BackendEnd ForwardService::endOf(const platform::ServerReply &reply)
 {
     if (!reply.usable)
@@ -407,9 +412,7 @@
         const auto attempt = std::move(it->second);
         m_attempts.erase(it);
         m_client.abort(attempt.exchange);
-        m_backends.ended(*attempt.backend,
-                         attempt.withdrawn ? BackendEnd::Withdrawn : BackendEnd::Abandoned,
-                         attempt.sentAt, now);
+        learn(attempt, attempt.withdrawn ? BackendEnd::Withdrawn : BackendEnd::Abandoned, now);
         offerRoom(attempt.backend->record.service, now);
     }
 }
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -7,6 +7,7 @@
 #include "platform/dialect.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/call.h"
+#include "policy/forward/lateness.h"
 #include "policy/forward/patience.h"
 #include "policy/forward/route.h"
 #include "policy/forward/split.h"
@@ -90,6 +91,7 @@
     struct Attempt
     {
         std::uint64_t call = 0;
+        std::string route;
         policy::forward::BackendPtr backend;
         ports::ExchangeId exchange = 0;
         core::TimePoint sentAt{};
@@ -129,6 +131,8 @@
                     core::TimePoint now);
     void onResponse(policy::forward::AttemptId id, const Attempt &attempt,
                     ports::ExchangeResult result, core::TimePoint now);
+    // Takes the end of an attempt into what is known of its server and route.
+    void learn(const Attempt &attempt, policy::forward::BackendEnd end, core::TimePoint now);
     static policy::forward::BackendEnd endOf(const platform::ServerReply &reply);
     static void keepResponse(Running &running, policy::forward::AttemptId id,
                              const platform::ServerReply &reply, ports::ExchangeResult result);
@@ -149,6 +153,7 @@
     policy::forward::RouteTablePtr m_table;
     policy::forward::SplitChooser m_split;
     policy::forward::PatienceTracker m_patience;
+    policy::forward::LatenessTracker m_lateness;
     policy::forward::CallHooks m_hooks;
     std::unordered_map<std::string, policy::retry::Budget> m_budgets;
     std::unordered_map<std::uint64_t, std::unique_ptr<Running>> m_calls;
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -15,10 +15,6 @@
 constexpr double failureWeight = 0.25;
 // A single refusal says little: the server may have been full for a moment.
 constexpr double refusalWeight = 0.12;
-// Share of answers that take longer than the latency after which an attempt is hedged.
-constexpr double lateShare = 0.08;
-// Step of the tracked latency for one sample, relative to it.
-constexpr double lateStep = 0.05;
 // An attempt that takes this many times the usual latency marks its server as stalled.
 constexpr double stallFactor = 2.5;
 constexpr double stallFloorMs = 8;
@@ -28,9 +24,6 @@
 constexpr double reportHalfLifeMs = 100;
 // Spread of the random factor that keeps hosts from choosing alike.
 constexpr double costJitter = 0.2;
-// Bounds of the time after which an attempt is hedged, in ms.
-constexpr double shortestHedgeMs = 4;
-constexpr double longestHedgeMs = 2000;
 
 double halving(double elapsedMs, double halfLifeMs)
 {
@@ -260,13 +253,9 @@
     backend.sampledAt = now;
     if (service.typicalMs <= 0) {
         service.typicalMs = latencyMs;
-        service.lateMs = 2 * latencyMs;
         return;
     }
     service.typicalMs += typicalWeight * (latencyMs - service.typicalMs);
-    // Moves up and down in the ratio in which samples are above and below the quantile.
-    const double step = lateStep * service.lateMs;
-    service.lateMs += latencyMs > service.lateMs ? step * (1 - lateShare) : -step * lateShare;
 }
 
 void BackendTable::reported(Backend &backend, int running, int waiting, int slots, TimePoint now)
@@ -283,21 +272,4 @@
     backend.record.leaving = true;
 }
 
-core::Duration BackendTable::hedgeDelay(const std::string &service) const
-{
-    const auto *found = find(service);
-    double late = found == nullptr ? 0 : found->lateMs;
-    if (late <= 0)
-        late = 2 * m_limits.unknownLatencyMs;
-    late = std::clamp(late, shortestHedgeMs, longestHedgeMs);
-    return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double, std::milli>(late));
-}
-
-double BackendTable::typicalMs(const std::string &service) const
-{
-    const auto *found = find(service);
-    return found == nullptr || found->typicalMs <= 0 ? m_limits.unknownLatencyMs : found->typicalMs;
-}
-
 } // namespace goldcrestline::policy::forward
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -142,23 +142,14 @@
     // Stops new work to a server that said it is leaving.
     void noteLeaving(Backend &backend);
 
-    // Returns the time after which an attempt at the service counts as late, by the latencies
-    // of the service's answers.
-    core::Duration hedgeDelay(const std::string &service) const;
-
     // Returns the number of requests that the service's usable servers may still take.
     int room(const std::string &service, core::TimePoint now) const;
 
-    // Returns the latency that an answer of the service typically takes.
-    double typicalMs(const std::string &service) const;
-
 private:
     struct Service
     {
         std::vector<BackendPtr> backends;
         double typicalMs = 0;
-        // Latency that few answers exceed, tracked by steps of unequal size.
-        double lateMs = 0;
     };
 
     const Service *find(const std::string &service) const;
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -57,7 +57,7 @@
     ++m_attemptsSent;
     state.hedgeAt = TimePoint::max();
     if (m_route.repeatability == Repeatability::Idempotent && state.live == 1)
-        state.hedgeAt = now + m_hooks.hedgeDelay(m_services[part]);
+        state.hedgeAt = now + m_hooks.hedgeDelay(m_route.name);
     m_attempts.push_back({id, part, backend});
     out.push_back(Send{id, part, backend});
 }
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -111,7 +111,8 @@
     std::function<bool(const std::string &service, core::TimePoint now)> spend;
     // Counts a first attempt, which adds to that budget.
     std::function<void(const std::string &service, core::TimePoint now)> earn;
-    std::function<core::Duration(const std::string &service)> hedgeDelay;
+    // Returns the time after which an attempt of the route counts as late.
+    std::function<core::Duration(const std::string &route)> hedgeDelay;
     std::function<AttemptId()> nextAttempt;
 };
 
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -155,22 +155,6 @@
     CHECK(table.backends.pick("s", {}, start + 100ms) == backend);
 }
 
-TEST_CASE("the hedge delay follows the late answers of the service")
-{
-    Table table;
-    auto now = start;
-    for (int i = 0; i < 2000; ++i) {
-        const auto backend = table.backends.pick("s", {}, now);
-        table.backends.sent(*backend, now);
-        const auto sentAt = now;
-        now += i % 20 == 0 ? 100ms : 10ms;
-        table.backends.ended(*backend, BackendEnd::Answered, sentAt, now);
-    }
-    const auto delay = core::toMillis(table.backends.hedgeDelay("s"));
-    CHECK(delay >= 9);
-    CHECK(delay < 60);
-}
-
 TEST_CASE(
     "a server that refuses half of its requests gets few, and is found again when it recovers")
 {
