Let the pause between watches of the store grow while changes keep coming

Ruled out: watches that end without news (two of 47), changes of the configuration (four).

The pause now doubles up to 600 ms, a fifth of the 3 s in which a change has to be in force, and starts anew after a calm.

A new test replays the series; it counts 12 calls at most, the old pause made one each 45 ms.

--- a/packages/policy/mirror/mirror.cpp
+++ b/packages/policy/mirror/mirror.cpp
@@ -22,6 +22,7 @@
     if (m_underWay || now < m_nextAt)
         return std::nullopt;
     m_underWay = true;
+    m_calledAt = now;
     if (m_listing)
         return ListStep{m_after};
     return WatchStep{m_revision};
@@ -83,12 +84,20 @@
     m_removals[name] = afterOutage ? now + m_times.returnGrace : now;
 }
 
+core::Duration Mirror::settleTime(TimePoint now)
+{
+    // A change that was not there soon after the call came after a calm.
+    const bool series = m_settle > core::Duration{0} && now - m_calledAt < m_times.longestSettle;
+    m_settle = series ? std::min(2 * m_settle, m_times.longestSettle) : m_times.firstSettle;
+    return m_settle;
+}
+
 void Mirror::onWatched(std::uint64_t revision, bool changed, TimePoint now)
 {
     succeed(now);
     m_revision = std::max(m_revision, revision);
     if (changed)
-        m_nextAt = now + m_times.settle;
+        m_nextAt = now + settleTime(now);
 }
 
 void Mirror::onHistoryGone(TimePoint now)
--- a/packages/policy/mirror/mirror.h
+++ b/packages/policy/mirror/mirror.h
@@ -23,7 +23,10 @@
     // Objects that vanish this soon after an outage are kept: their owners may write them again.
     core::Duration returnGrace = std::chrono::milliseconds(2500);
     // Pause between a change and the next watch, so that changes that come in series cost one call.
-    core::Duration settle = std::chrono::milliseconds(40);
+    // It doubles while changes keep coming, up to the longest, which is a fifth of the shortest
+    // time in which a change has to be in force.
+    core::Duration firstSettle = std::chrono::milliseconds(40);
+    core::Duration longestSettle = std::chrono::milliseconds(600);
 };
 
 // Asks for a page of the list that begins after a name.
@@ -78,6 +81,7 @@
 
 private:
     void succeed(core::TimePoint now);
+    core::Duration settleTime(core::TimePoint now);
     void removeLater(const std::string &name, core::TimePoint now);
 
     MirrorTimes m_times;
@@ -90,6 +94,10 @@
     // Revision of the list's first page: changes made while paging are watched from there.
     std::uint64_t m_listRevision = 0;
     core::TimePoint m_nextAt{};
+    // When the last call was made.
+    core::TimePoint m_calledAt{};
+    // The pause after the last change.
+    core::Duration m_settle{};
     int m_failures = 0;
     std::optional<core::TimePoint> m_recoveredAt;
     std::set<std::string> m_known;
--- a/tests/unit/mirror_test.cpp
+++ b/tests/unit/mirror_test.cpp
@@ -162,3 +162,29 @@
         RC_ASSERT(copy == store);
     });
 }
+
+TEST_CASE("changes in a long series cost few calls, and one after a calm is taken soon")
+{
+    // Servers of a large deployment register one after the other for seconds.
+    auto mirror = makeMirror();
+    listAll(mirror, {}, 1, start);
+    auto now = start;
+    std::uint64_t revision = 1;
+    int calls = 0;
+    for (const auto end = start + 4s; now < end; now += 10ms) {
+        if (mirror.next(now))
+            ++calls;
+        else
+            continue;
+        mirror.onChange("s" + std::to_string(revision), false, now + 5ms);
+        mirror.onWatched(++revision, true, now + 5ms);
+    }
+    CHECK(calls <= 12);
+    CHECK(calls >= 4);
+    now += 5s;
+    REQUIRE(mirror.next(now));
+    now += 10s;
+    mirror.onWatched(++revision, true, now);
+    CHECK_FALSE(mirror.next(now + 10ms));
+    CHECK(mirror.next(now + 50ms));
+}
