Send callers to a zone's large hosts, compare member tables by digest, divide allowances by use

Causes, found on the grown sites (85 and 67 hosts, two of 0.5 core a zone, the others 0.12): - A request with 36 parts costs 2.2 ms of processor, which is 19 ms on a host of 0.12 core and a link of 20 Mbit/s, and all hosts carried callers alike: half of the quick requests ended at their objective with parts missing. - Each host contacted a seed each 2.1 s with its whole member table (85 records): by that sum 1.5 MB/s in the fleet, against 6 KB/s a host in the target. - Connections and extra attempts were divided by 12 hosts, however many there were.

Changes: hosts spread their processor and whether they are strained (estimated use above 0.4); /resolve names the hosts with at least half of the largest one's processor while these are calm and there are two or more. A contact sends a digest, and the whole table only if the digests differ. Half of each allowance is divided among the hosts that carry callers, half among all.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -41,6 +41,8 @@
     to.setLeaving(from.leaving);
     to.setSuccessor(from.successor);
     to.setLoad(from.load);
+    to.setCapacity(from.capacity);
+    to.setStrained(from.strained);
 }
 
 Member readMember(wire::Member::Reader from)
@@ -59,6 +61,8 @@
     member.leaving = from.getLeaving();
     member.successor = asString(from.getSuccessor());
     member.load = from.getLoad();
+    member.capacity = from.getCapacity();
+    member.strained = from.getStrained();
     return member;
 }
 
@@ -66,6 +70,7 @@
 {
     to.setFrom(from.from);
     to.setWholeTable(from.wholeTable);
+    to.setTableDigest(from.tableDigest);
     to.setListsRevision(from.listsRevision);
     to.setFleetRevision(from.fleetRevision);
     to.setConfirmationAgeMs(from.confirmationAge.count());
@@ -84,6 +89,7 @@
     ports::Gossip gossip;
     gossip.from = asString(from.getFrom());
     gossip.wholeTable = from.getWholeTable();
+    gossip.tableDigest = from.getTableDigest();
     gossip.listsRevision = from.getListsRevision();
     gossip.fleetRevision = from.getFleetRevision();
     gossip.confirmationAge = core::Millis(std::max<std::int64_t>(0, from.getConfirmationAgeMs()));
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -15,6 +15,8 @@
   leaving @8 :Bool;
   successor @9 :Text;
   load @10 :UInt32;
+  capacity @11 :UInt32;
+  strained @12 :Bool;
 }
 
 struct LeavingNote {
@@ -30,6 +32,7 @@
   listsRevision @4 :UInt64;
   fleetRevision @5 :UInt64;
   confirmationAgeMs @6 :Int64;
+  tableDigest @7 :UInt64;
 }
 
 struct Outcome {
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -22,6 +22,9 @@
         // What callers are offered: "plans", the product's own interface, or "routes", requests
         // that are forwarded as the platform's routes say.
         TextNode serves{this, "serves", "plans", Presence::Optional};
+        // Processor of the host: its share of each core, and the number of cores.
+        NumberNode coreShare{this, "core_share", 1, 0.001, 1000};
+        IntegerNode cores{this, "cores", 1, 1, 10000};
     } host{this, "host"};
 
     struct Listen : Section
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -12,6 +12,7 @@
 #include "daemon/peers/membership.h"
 #include "platform/dialect.h"
 #include "policy/entrypoints/entry_points.h"
+#include "policy/entrypoints/strain.h"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
@@ -44,6 +45,9 @@
 // Period of checks on the settings file, which may change without a signal.
 constexpr core::Millis settingsCheck{2000};
 constexpr std::string_view metricsPath = "/v1/metrics";
+// Period of checks on how busy this host is.
+constexpr core::Millis strainCheck{1000};
+constexpr double thousandths = 1000;
 // Hosts that a caller is told of.
 constexpr std::size_t addressesAtMost = 8;
 // Addresses that a caller is told of at least, if there are as many hosts.
@@ -76,7 +80,7 @@
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_copy(m_storeClient, m_backends, m_link, copyHooks()), m_members(memberTable()),
           m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
-          m_registry(m_members.self(), m_storeClient, registryHooks()),
+          m_strain(cores()), m_registry(m_members.self(), m_storeClient, registryHooks()),
           m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
           m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
@@ -118,13 +122,33 @@
         ForwardLimits limits;
         limits.callerTransit = forward.callerTransitMs.millis();
         limits.extraShare = budgetShare * forward.extraShare.value;
-        limits.extraBurst =
-            std::max(1.0,
-                     budgetShare * forward.extraSlack.value
-                         / static_cast<double>(m_settings->peers.hostsAtMost.value));
+        limits.extraBurst = extraBurst();
         return limits;
     }
 
+    double extraBurst() const
+    {
+        return std::max(1.0, budgetShare * m_settings->forward.extraSlack.value * m_share);
+    }
+
+    std::size_t hostsAtLeast() const
+    {
+        return static_cast<std::size_t>(m_settings->peers.hostsAtMost.value);
+    }
+
+    // Divides the fleet's allowances among the hosts as they are now.
+    void divideAllowances()
+    {
+        m_share = policy::entrypoints::allowanceShare(m_members.live(), m_members.self().name,
+                                                      hostsAtLeast());
+        m_forward.setExtraBurst(extraBurst());
+    }
+
+    double cores() const
+    {
+        return m_settings->host.coreShare.value * static_cast<double>(m_settings->host.cores.value);
+    }
+
     int connectionShare(const std::string &service) const
     {
         const auto &routes = m_forward.routes();
@@ -132,7 +156,7 @@
             return 1;
         const auto it = routes->services().find(service);
         const int all = it == routes->services().end() ? 1 : it->second.connections;
-        return std::max(1, all / static_cast<int>(m_settings->peers.hostsAtMost.value));
+        return std::max(1, static_cast<int>(all * m_share));
     }
 
     policy::membership::MemberTable memberTable()
@@ -143,6 +167,7 @@
         self.callersAddress = m_settings->listen.callers.value;
         self.controlAddress = m_settings->listen.control.value;
         self.peersAddress = m_settings->listen.peers.value;
+        self.capacity = static_cast<std::uint32_t>(thousandths * cores());
         self.incarnation = static_cast<std::uint64_t>(core::wallNow());
         policy::membership::MembershipTimes times;
         times.period = m_settings->peers.periodMs.millis();
@@ -357,6 +382,11 @@
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
+            divideAllowances();
+        }
+        if (now >= m_strainCheckAt) {
+            m_strainCheckAt = now + strainCheck;
+            checkStrain(now);
         }
         if (now >= m_settingsCheckAt) {
             m_settingsCheckAt = now + settingsCheck;
@@ -365,6 +395,16 @@
         checkStopped(now);
     }
 
+    void checkStrain(TimePoint now)
+    {
+        const bool strained = m_strain.update(m_forward.counters().attempts, now);
+        if (strained == m_members.self().strained)
+            return;
+        log.info(std::string(strained ? "strained" : "calm")
+                 + " use=" + std::to_string(m_strain.use()));
+        m_members.setStrained(strained);
+    }
+
     // Sets the timer to the next work if that comes before the time that is set.
     void arm(TimePoint now)
     {
@@ -382,6 +422,8 @@
 
     std::shared_ptr<const adapters::settings::Settings> m_settings;
     std::string m_path;
+    // Part of the fleet's allowances that this host may use.
+    double m_share = 1.0 / static_cast<double>(m_settings->peers.hostsAtMost.value);
     std::mt19937 m_random{std::random_device{}()};
     asio::io_context m_io{1};
     asio::signal_set m_signals;
@@ -394,6 +436,7 @@
     PlatformCopy m_copy;
     policy::membership::MemberTable m_members;
     peers::Membership m_membership;
+    policy::entrypoints::StrainGauge m_strain;
     HostRegistry m_registry;
     FrontServer m_callers;
     FrontServer m_directory;
@@ -402,6 +445,7 @@
     TimePoint m_armedAt = TimePoint::max();
     TimePoint m_housekeepingAt{};
     TimePoint m_memberTickAt{};
+    TimePoint m_strainCheckAt{};
     TimePoint m_settingsCheckAt{};
     std::filesystem::file_time_type m_settingsTime{};
     bool m_stopping = false;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -87,6 +87,15 @@
     m_table = std::move(table);
 }
 
+void ForwardService::setExtraBurst(double burst)
+{
+    if (burst == m_limits.extraBurst)
+        return;
+    m_limits.extraBurst = burst;
+    for (auto &it : m_budgets)
+        it.second.setBurst(burst);
+}
+
 core::Millis ForwardService::retryAfter()
 {
     const double ms = shortestReturnMs + m_random() * (longestReturnMs - shortestReturnMs);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -50,6 +50,9 @@
     void setRoutes(policy::forward::RouteTablePtr table);
     const policy::forward::RouteTablePtr &routes() const { return m_table; }
 
+    // Changes the burst of extra attempts at one service.
+    void setExtraBurst(double burst);
+
     void handle(adapters::loop::FrontCall call, core::TimePoint now);
     void onGone(std::uint64_t call, core::TimePoint now);
 
--- a/packages/daemon/peers/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -37,7 +37,10 @@
         if (const auto *probe = std::get_if<policy::membership::Probe>(&action)) {
             exchange(probe->name, probe->address, false, now);
         } else if (const auto *contact = std::get_if<policy::membership::Contact>(&action)) {
-            exchange("", contact->address, true, now);
+            if (contact->wholeTable)
+                exchange("", contact->address, true, now);
+            else
+                compare(contact->address, now);
         } else {
             probeFor(std::get<policy::membership::IndirectProbe>(action));
         }
@@ -50,6 +53,7 @@
     out.from = m_table.self().name;
     out.members = m_table.updates(wholeTable);
     out.wholeTable = wholeTable;
+    out.tableDigest = m_table.digest();
     m_hooks.describe(out, now);
     return out;
 }
@@ -74,6 +78,23 @@
                 });
 }
 
+void Membership::compare(const std::string &address, TimePoint now)
+{
+    m_link.call(address, gossip(false, now), m_period,
+                [this, address, askedAt = now](const ports::PeerResult &result) {
+                    if (result.end != PeerEnd::Answered)
+                        return;
+                    const auto &news = std::get<ports::Gossip>(result.answer);
+                    if (news.from == m_table.self().name)
+                        return;
+                    const auto at = core::Clock::now();
+                    takeNews(news, askedAt, at);
+                    // A reply that arrives after further news looks different once more.
+                    if (news.tableDigest != m_table.digest())
+                        exchange("", address, true, at);
+                });
+}
+
 void Membership::takeNews(const ports::Gossip &news, std::optional<TimePoint> askedAt,
                           TimePoint now)
 {
--- a/packages/daemon/peers/membership.h
+++ b/packages/daemon/peers/membership.h
@@ -42,6 +42,8 @@
     ports::Gossip gossip(bool wholeTable, core::TimePoint now);
     void exchange(const std::string &name, const std::string &address, bool wholeTable,
                   core::TimePoint now);
+    // Exchanges digests, and whole tables if they differ.
+    void compare(const std::string &address, core::TimePoint now);
     void apply(const std::vector<policy::membership::Action> &actions, core::TimePoint now);
     void probeFor(const policy::membership::IndirectProbe &probe);
     void takeNews(const ports::Gossip &news, std::optional<core::TimePoint> askedAt,
--- a/packages/policy/entrypoints/entry_points.cpp
+++ b/packages/policy/entrypoints/entry_points.cpp
@@ -1,6 +1,7 @@
 #include "policy/entrypoints/entry_points.h"
 
 #include <algorithm>
+#include <map>
 
 namespace goldcrestline::policy::entrypoints {
 
@@ -12,13 +13,76 @@
 // Loads within the same step count as equal.
 constexpr std::uint32_t loadStep = 8;
 
+// A host counts as large from this part of the capacity of the largest one in its zone.
+constexpr std::uint32_t largePart = 2;
+// Fewest large hosts of a zone that carry its callers alone, so that the loss of one leaves
+// another.
+constexpr std::ptrdiff_t fewestLarge = 2;
+
+// Part of an allowance that the hosts with callers divide among themselves; all hosts divide the
+// rest, since callers keep addresses and may come to any host.
+constexpr double carrierPart = 0.5;
+
+struct ZoneCapacity
+{
+    std::uint32_t largest = 0;
+    std::ptrdiff_t largeHosts = 0;
+    bool strained = false;
+};
+
+bool isLarge(const Member &member, const ZoneCapacity &zone)
+{
+    return member.capacity * largePart >= zone.largest;
+}
+
+// Leaves out the small hosts of each zone whose large ones suffice: a request takes longer on a
+// small host, and the fewer hosts are in use, the fewer connections the servers have to hold.
+void dropSmall(std::vector<Member> &members)
+{
+    std::map<std::string, ZoneCapacity> zones;
+    for (const auto &it : members) {
+        auto &zone = zones[it.zone];
+        zone.largest = std::max(zone.largest, it.capacity);
+    }
+    for (const auto &it : members) {
+        auto &zone = zones[it.zone];
+        if (!isLarge(it, zone))
+            continue;
+        ++zone.largeHosts;
+        zone.strained = zone.strained || it.strained;
+    }
+    std::erase_if(members, [&](const Member &it) {
+        const auto &zone = zones[it.zone];
+        return !isLarge(it, zone) && !zone.strained && zone.largeHosts >= fewestLarge;
+    });
+}
+
 } // namespace
 
-std::vector<Member> choose(std::vector<Member> members, const std::string &zone, std::size_t limit,
-                           const std::function<unsigned(unsigned)> &random)
+std::vector<Member> carriers(std::vector<Member> members)
 {
     std::erase_if(members,
                   [](const Member &it) { return it.leaving || it.state != MemberState::Alive; });
+    dropSmall(members);
+    return members;
+}
+
+double allowanceShare(const std::vector<Member> &members, const std::string &host,
+                      std::size_t hostsAtLeast)
+{
+    const auto carrying = carriers(members);
+    const bool carries = std::any_of(carrying.begin(), carrying.end(),
+                                     [&](const Member &it) { return it.name == host; });
+    const auto partOf = [&](std::size_t hosts) {
+        return carrierPart / static_cast<double>(std::max(hosts, hostsAtLeast));
+    };
+    return (carries ? partOf(carrying.size()) : 0) + partOf(members.size());
+}
+
+std::vector<Member> choose(std::vector<Member> members, const std::string &zone, std::size_t limit,
+                           const std::function<unsigned(unsigned)> &random)
+{
+    members = carriers(std::move(members));
     for (std::size_t i = members.size(); i > 1; --i)
         std::swap(members[i - 1], members[random(static_cast<unsigned>(i))]);
     std::stable_sort(members.begin(), members.end(), [&](const Member &a, const Member &b) {
--- a/packages/policy/entrypoints/entry_points.h
+++ b/packages/policy/entrypoints/entry_points.h
@@ -9,9 +9,20 @@
 // Which hosts a caller is told to use.
 namespace goldcrestline::policy::entrypoints {
 
+// Returns the hosts that callers are sent to: suspect, dead and leaving hosts are left out, and so
+// are the small hosts of a zone while its large ones are not strained. Thread-safe.
+std::vector<membership::Member> carriers(std::vector<membership::Member> members);
+
+// Returns the part, 0 to 1, of an allowance of the whole fleet that `host` may use: connections to
+// a server, extra attempts. The parts of all hosts add up to 1 at most. `hostsAtLeast` is the
+// number of hosts to assume while fewer are known. Precondition: `hostsAtLeast` is above 0.
+// Thread-safe.
+double allowanceShare(const std::vector<membership::Member> &members, const std::string &host,
+                      std::size_t hostsAtLeast);
+
 // Returns the hosts for a caller of `zone`, best first: own zone, then less loaded. `random`
-// returns a uniform number in [0, n) and spreads callers over equals. Suspect, dead and leaving
-// hosts are left out. At most `limit` hosts, of two zones if there are two. Thread-safe.
+// returns a uniform number in [0, n) and spreads callers over equals. At most `limit` carriers, of
+// two zones if there are two. Thread-safe.
 std::vector<membership::Member> choose(std::vector<membership::Member> members,
                                        const std::string &zone, std::size_t limit,
                                        const std::function<unsigned(unsigned)> &random);
--- a/packages/policy/membership/member.h
+++ b/packages/policy/membership/member.h
@@ -28,7 +28,7 @@
     std::string peersAddress;
     // Wall-clock start of the process in milliseconds: a restart raises it.
     std::uint64_t incarnation = 0;
-    // Raised by the host itself to contradict a suspicion.
+    // Raised by the host itself to contradict a suspicion, or when its own state changes.
     std::uint32_t refutation = 0;
     MemberState state = MemberState::Alive;
     // The host is stopping: no new callers are sent to it.
@@ -37,6 +37,10 @@
     std::string successor;
     // Queries under way, for spreading callers by load.
     std::uint32_t load = 0;
+    // Processor of the host in thousandths of a core.
+    std::uint32_t capacity = 0;
+    // The host is busier than it can be without slowing its callers down.
+    bool strained = false;
 
     // Tells whether this record replaces `other` of the same host. Thread-safe.
     bool supersedes(const Member &other) const
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -1,5 +1,7 @@
 #include "policy/membership/member_table.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -66,7 +68,7 @@
             addresses.push_back(it.second.member.peersAddress);
     }
     if (!addresses.empty())
-        out.push_back(Contact{addresses[m_random(static_cast<unsigned>(addresses.size()))]});
+        out.push_back(Contact{addresses[m_random(static_cast<unsigned>(addresses.size()))], alone});
     return out;
 }
 
@@ -262,6 +264,29 @@
     m_self.load = load;
 }
 
+void MemberTable::setStrained(bool strained)
+{
+    if (m_self.strained == strained)
+        return;
+    m_self.strained = strained;
+    ++m_self.refutation;
+}
+
+std::uint64_t MemberTable::digest() const
+{
+    // Suspicions come and go within seconds and spread by themselves; loads are never agreed on.
+    const auto hashOf = [](const Member &it) {
+        return core::stableHash(it.name + "/" + std::to_string(it.incarnation) + "/"
+                                + std::to_string(it.refutation) + (it.leaving ? "/leaving" : ""));
+    };
+    std::uint64_t out = reachable(m_self) ? hashOf(m_self) : 0;
+    for (const auto &it : m_peers) {
+        if (reachable(it.second.member))
+            out ^= hashOf(it.second.member);
+    }
+    return out;
+}
+
 const Member *MemberTable::find(const std::string &name) const
 {
     if (name == m_self.name)
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -41,10 +41,12 @@
     std::string name;
     std::string address;
 };
-// Exchanges whole tables with an address whose host may be unknown.
+// Compares tables with an address whose host may be unknown.
 struct Contact
 {
     std::string address;
+    // Sends the whole table at once instead of its digest: this host knows nobody yet.
+    bool wholeTable = false;
 };
 using Action = std::variant<Probe, IndirectProbe, Contact>;
 
@@ -76,12 +78,17 @@
     void setLeaving();
     void setLeft(std::string successor);
     void setLoad(std::uint32_t load);
+    // Spreads a change of whether this host is strained.
+    void setStrained(bool strained);
 
     const Member &self() const { return m_self; }
 
     // Returns a known member, or null.
     const Member *find(const std::string &name) const;
 
+    // Returns a digest of the living members, equal on hosts that agree about them.
+    std::uint64_t digest() const;
+
     // Returns all known members, this one included.
     std::vector<Member> all() const;
 
--- a/packages/policy/retry/budget.h
+++ b/packages/policy/retry/budget.h
@@ -11,6 +11,14 @@
     // start.
     Budget(double share, double burst) : m_share(share), m_burst(burst), m_tokens(burst) { }
 
+    // Changes the number of tokens kept at most; surplus tokens are lost.
+    void setBurst(double burst)
+    {
+        m_burst = burst;
+        if (m_tokens > m_burst)
+            m_tokens = m_burst;
+    }
+
     // Counts one first attempt.
     void earn()
     {
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -20,6 +20,8 @@
     std::string from;
     std::vector<policy::membership::Member> members;
     bool wholeTable = false;
+    // Digest of the sender's living members.
+    std::uint64_t tableDigest = 0;
     std::vector<policy::routing::LeavingNote> leavingServers;
     std::uint64_t listsRevision = 0;
     std::uint64_t fleetRevision = 0;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -1,6 +1,7 @@
 #include "policy/membership/member_table.h"
 
 #include "policy/entrypoints/entry_points.h"
+#include "policy/entrypoints/strain.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
@@ -24,6 +25,8 @@
     std::set<std::pair<int, int>> cuts;
     std::set<int> frozen;
     double loss = 0;
+    // Exchanges of whole tables since the start.
+    int wholeTables = 0;
 
     explicit Hosts(int n, unsigned seed = 1) : random(seed)
     {
@@ -66,6 +69,17 @@
         return true;
     }
 
+    void contactHost(int from, int to, bool whole)
+    {
+        if (!exchange(from, to, whole) || whole)
+            return;
+        const auto digest = tables[static_cast<std::size_t>(to)]->digest();
+        if (digest == tables[static_cast<std::size_t>(from)]->digest())
+            return;
+        ++wholeTables;
+        exchange(from, to, true);
+    }
+
     void apply(int i, const std::vector<Action> &actions)
     {
         auto &table = *tables[static_cast<std::size_t>(i)];
@@ -76,7 +90,7 @@
                 else
                     apply(i, table.onDirectProbeFailed(probe->name, now));
             } else if (const auto *contact = std::get_if<Contact>(&action)) {
-                exchange(i, index(contact->address), true);
+                contactHost(i, index(contact->address), contact->wholeTable);
             } else {
                 const auto &indirect = std::get<IndirectProbe>(action);
                 const int via = index(indirect.via);
@@ -276,3 +290,129 @@
         CHECK(it.name != "h1");
     }
 }
+
+TEST_CASE("hosts that agree exchange no whole tables", "[membership]")
+{
+    Hosts hosts(30);
+    hosts.run(20s);
+    REQUIRE(hosts.agreed());
+    hosts.wholeTables = 0;
+    hosts.run(60s);
+    CHECK(hosts.wholeTables == 0);
+    hosts.tables[4]->setStrained(true);
+    hosts.run(6s);
+    for (const auto &it : hosts.tables)
+        CHECK(it->find("h4")->strained);
+}
+
+TEST_CASE("hosts that missed news are brought up to date by a whole table", "[membership]")
+{
+    Hosts hosts(12);
+    hosts.run(12s);
+    // Nobody hears of the restart by probes, since the link to all but one host is cut.
+    for (int i = 1; i < 11; ++i)
+        hosts.cuts.insert({11, i});
+    hosts.tables[11] = hosts.make(11, 2);
+    hosts.run(2s);
+    hosts.cuts.clear();
+    hosts.run(25s);
+    CHECK(hosts.agreed());
+    for (const auto &it : hosts.tables)
+        CHECK(it->find("h11")->incarnation == 2);
+}
+
+namespace {
+
+Member hostOf(const std::string &name, const std::string &zone, std::uint32_t capacity)
+{
+    Member it;
+    it.name = name;
+    it.zone = zone;
+    it.capacity = capacity;
+    return it;
+}
+
+std::set<std::string> chosenIn(const std::vector<Member> &members, const std::string &zone)
+{
+    std::set<std::string> out;
+    for (const auto &it :
+         policy::entrypoints::choose(members, zone, 8, [](unsigned) { return 0U; })) {
+        if (it.zone == zone)
+            out.insert(it.name);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("callers are sent to a zone's large hosts while these are calm", "[entrypoints]")
+{
+    std::vector<Member> members{hostOf("big1", "a", 500), hostOf("big2", "a", 500),
+                                hostOf("big3", "b", 500)};
+    for (int i = 0; i < 5; ++i)
+        members.push_back(hostOf("small" + std::to_string(i), "a", 120));
+    CHECK(chosenIn(members, "a") == std::set<std::string>{"big1", "big2"});
+    members[1].strained = true;
+    CHECK(chosenIn(members, "a").size() == 7);
+    members[1].strained = false;
+    members[1].state = MemberState::Dead;
+    CHECK(chosenIn(members, "a").size() == 6);
+    // Hosts that are about alike all carry callers.
+    std::vector<Member> alike{hostOf("x", "a", 250), hostOf("y", "a", 200), hostOf("z", "a", 130)};
+    CHECK(chosenIn(alike, "a").size() == 3);
+}
+
+TEST_CASE("a host is strained from a high use of its processor until it is calm", "[entrypoints]")
+{
+    policy::entrypoints::StrainGauge gauge(0.5);
+    auto now = TimePoint{} + 1h;
+    std::uint64_t sent = 0;
+    const auto play = [&](int perSecond, int seconds) {
+        bool strained = false;
+        for (int i = 0; i < seconds; ++i) {
+            now += 1s;
+            sent += static_cast<std::uint64_t>(perSecond);
+            strained = gauge.update(sent, now);
+        }
+        return strained;
+    };
+    gauge.update(0, now);
+    CHECK_FALSE(play(1000, 20));
+    CHECK(play(5000, 10));
+    CHECK(play(2500, 10));
+    CHECK_FALSE(play(500, 10));
+}
+
+TEST_CASE("the hosts' parts of an allowance add up to no more than all of it", "[entrypoints]")
+{
+    rc::prop("any fleet", [] {
+        const auto capacities =
+            *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5)));
+        std::vector<Member> members;
+        for (std::size_t i = 0; i < capacities.size(); ++i) {
+            const auto zone = std::string(1, static_cast<char>('a' + i % 3));
+            members.push_back(hostOf("h" + std::to_string(i), zone,
+                                     static_cast<std::uint32_t>(120 * capacities[i])));
+            members.back().strained = *rc::gen::inRange(0, 10) == 0;
+            members.back().leaving = *rc::gen::inRange(0, 10) == 0;
+        }
+        double sum = 0;
+        for (const auto &it : members) {
+            const double part = policy::entrypoints::allowanceShare(members, it.name, 6);
+            RC_ASSERT(part > 0);
+            sum += part;
+        }
+        RC_ASSERT(sum <= 1 + 1e-9);
+    });
+}
+
+TEST_CASE("hosts that carry the callers get most of an allowance", "[entrypoints]")
+{
+    std::vector<Member> members{hostOf("big1", "a", 500), hostOf("big2", "a", 500)};
+    for (int i = 0; i < 20; ++i)
+        members.push_back(hostOf("small" + std::to_string(i), "a", 120));
+    const double big = policy::entrypoints::allowanceShare(members, "big1", 2);
+    const double small = policy::entrypoints::allowanceShare(members, "small0", 2);
+    CHECK(big > 0.25);
+    CHECK(small < 0.03);
+}
