Give connections back on hosts without callers; send callers to their own region; drop dead code

Few hosts carry callers now, yet every host is asked by the platform's checks of the configuration and kept its connections for 20 s: 85 hosts at servers that take 74.

Ruled out: the share of connections of the hosts with callers (8 hosts with 3 each).

The region of hosts and of callers was read and not used: a caller whose zone has no host is now sent to its own region first.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -55,7 +55,6 @@
     std::string unparsed;
     // Bytes of the request that the socket could not take yet.
     std::string unsent;
-    bool anySent = false;
     // An answer of another request was seen, so the connection must not be used again.
     bool suspect = false;
     TimePoint since{};
@@ -160,7 +159,6 @@
             });
             return;
         }
-        connection->anySent = true;
         if (sent == asio::buffer_size(buffers))
             return;
         std::string all = *request.commonHead + request.ownHead + "\r\n" + body;
@@ -402,14 +400,9 @@
     std::erase_if(m_impl->pool, [](const auto &it) { return it.second.empty(); });
 }
 
-void ExchangeClient::forget(const std::string &address)
+void ExchangeClient::setIdleTime(core::Millis time)
 {
-    const auto it = m_impl->pool.find(address);
-    if (it == m_impl->pool.end())
-        return;
-    const auto idle = it->second;
-    for (const auto &connection : idle)
-        m_impl->close(connection);
+    m_impl->options.idleTime = time;
 }
 
 std::uint64_t ExchangeClient::opened() const
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -45,8 +45,8 @@
     // long. Call about every 20 ms.
     void tick(core::TimePoint now);
 
-    // Closes all idle connections to an address.
-    void forget(const std::string &address);
+    // Changes the longest time for which a connection that becomes idle from now on is kept.
+    void setIdleTime(core::Millis time);
 
     // Connections opened so far.
     std::uint64_t opened() const;
--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -32,6 +32,7 @@
 {
     to.setName(from.name);
     to.setZone(from.zone);
+    to.setRegion(from.region);
     to.setCallersAddress(from.callersAddress);
     to.setControlAddress(from.controlAddress);
     to.setPeersAddress(from.peersAddress);
@@ -50,6 +51,7 @@
     Member member;
     member.name = asString(from.getName());
     member.zone = asString(from.getZone());
+    member.region = asString(from.getRegion());
     member.callersAddress = asString(from.getCallersAddress());
     member.controlAddress = asString(from.getControlAddress());
     member.peersAddress = asString(from.getPeersAddress());
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -17,6 +17,7 @@
   load @10 :UInt32;
   capacity @11 :UInt32;
   strained @12 :Bool;
+  region @13 :Text;
 }
 
 struct LeavingNote {
--- a/packages/daemon/control/routes.cpp
+++ b/packages/daemon/control/routes.cpp
@@ -99,7 +99,7 @@
     if (!board->serving)
         std::erase_if(members, [&](const auto &it) { return it.name == board->name; });
     json body{{"keep_ms", board->keepFor.count()}, {"entry_points", json::array()}};
-    for (const auto &it : policy::entrypoints::choose(members, zone, m_entryPoints, below)) {
+    for (const auto &it : policy::entrypoints::choose(members, {zone, {}}, m_entryPoints, below)) {
         body["entry_points"].push_back({{"host", it.name},
                                         {"zone", it.zone},
                                         {"callers", it.callersAddress},
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -25,6 +25,7 @@
 
 namespace asio = boost::asio;
 using adapters::loop::ExchangeClient;
+using adapters::loop::ExchangeOptions;
 using adapters::loop::FrontCall;
 using adapters::loop::FrontServer;
 using core::ResultCode;
@@ -48,6 +49,9 @@
 // Period of checks on how busy this host is.
 constexpr core::Millis strainCheck{1000};
 constexpr double thousandths = 1000;
+// Time for which idle connections to servers are kept on a host that callers are not sent to: each
+// server takes fewer connections than there are hosts.
+constexpr core::Millis spareIdleTime{600};
 // Hosts that a caller is told of.
 constexpr std::size_t addressesAtMost = 8;
 // Addresses that a caller is told of at least, if there are as many hosts.
@@ -102,9 +106,9 @@
     }
 
 private:
-    static adapters::loop::ExchangeOptions storeOptions()
+    static ExchangeOptions storeOptions()
     {
-        adapters::loop::ExchangeOptions options;
+        ExchangeOptions options;
         options.probeAfterSeconds = storeProbeSeconds;
         return options;
     }
@@ -139,9 +143,12 @@
     // Divides the fleet's allowances among the hosts as they are now.
     void divideAllowances()
     {
-        m_share = policy::entrypoints::allowanceShare(m_members.live(), m_members.self().name,
-                                                      hostsAtLeast());
+        const auto &self = m_members.self().name;
+        m_share = policy::entrypoints::allowanceShare(m_members.live(), self, hostsAtLeast());
         m_forward.setExtraBurst(extraBurst());
+        const bool carries =
+            policy::entrypoints::isAmong(policy::entrypoints::carriers(m_members.live()), self);
+        m_backendClient.setIdleTime(carries ? ExchangeOptions().idleTime : spareIdleTime);
     }
 
     double cores() const
@@ -164,6 +171,7 @@
         policy::membership::Member self;
         self.name = m_settings->host.name.value;
         self.zone = m_settings->host.zone.value;
+        self.region = m_settings->host.region.value;
         self.callersAddress = m_settings->listen.callers.value;
         self.controlAddress = m_settings->listen.control.value;
         self.peersAddress = m_settings->listen.peers.value;
@@ -271,8 +279,8 @@
     ports::Outgoing resolve(const platform::ResolveQuestion &question)
     {
         const auto chosen =
-            policy::entrypoints::choose(m_members.all(), question.zone, addressesAtMost,
-                                        [this](unsigned n) { return below(n); });
+            policy::entrypoints::choose(m_members.all(), {question.zone, question.region},
+                                        addressesAtMost, [this](unsigned n) { return below(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
             // Callers choose at random, so other zones only fill up to the fewest that a caller
--- a/packages/policy/entrypoints/entry_points.cpp
+++ b/packages/policy/entrypoints/entry_points.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace goldcrestline::policy::entrypoints {
 
@@ -67,19 +68,24 @@
     return members;
 }
 
+bool isAmong(const std::vector<Member> &members, const std::string &name)
+{
+    return std::any_of(members.begin(), members.end(),
+                       [&](const Member &it) { return it.name == name; });
+}
+
 double allowanceShare(const std::vector<Member> &members, const std::string &host,
                       std::size_t hostsAtLeast)
 {
     const auto carrying = carriers(members);
-    const bool carries = std::any_of(carrying.begin(), carrying.end(),
-                                     [&](const Member &it) { return it.name == host; });
+    const bool carries = isAmong(carrying, host);
     const auto partOf = [&](std::size_t hosts) {
         return carrierPart / static_cast<double>(std::max(hosts, hostsAtLeast));
     };
     return (carries ? partOf(carrying.size()) : 0) + partOf(members.size());
 }
 
-std::vector<Member> choose(std::vector<Member> members, const std::string &zone, std::size_t limit,
+std::vector<Member> choose(std::vector<Member> members, const CallerPlace &place, std::size_t limit,
                            const std::function<unsigned(unsigned)> &random)
 {
     members = carriers(std::move(members));
@@ -87,7 +93,7 @@
         std::swap(members[i - 1], members[random(static_cast<unsigned>(i))]);
     std::stable_sort(members.begin(), members.end(), [&](const Member &a, const Member &b) {
         const auto rank = [&](const Member &it) {
-            return std::pair(it.zone != zone, it.load / loadStep);
+            return std::tuple(it.zone != place.zone, it.region != place.region, it.load / loadStep);
         };
         return rank(a) < rank(b);
     });
--- a/packages/policy/entrypoints/entry_points.h
+++ b/packages/policy/entrypoints/entry_points.h
@@ -13,6 +13,9 @@
 // are the small hosts of a zone while its large ones are not strained. Thread-safe.
 std::vector<membership::Member> carriers(std::vector<membership::Member> members);
 
+// Tells whether the host named `name` is among the members. Thread-safe.
+bool isAmong(const std::vector<membership::Member> &members, const std::string &name);
+
 // Returns the part, 0 to 1, of an allowance of the whole fleet that `host` may use: connections to
 // a server, extra attempts. The parts of all hosts add up to 1 at most. `hostsAtLeast` is the
 // number of hosts to assume while fewer are known. Precondition: `hostsAtLeast` is above 0.
@@ -20,11 +23,18 @@
 double allowanceShare(const std::vector<membership::Member> &members, const std::string &host,
                       std::size_t hostsAtLeast);
 
-// Returns the hosts for a caller of `zone`, best first: own zone, then less loaded. `random`
+// Where a caller is; the region may be empty.
+struct CallerPlace
+{
+    std::string zone;
+    std::string region;
+};
+
+// Returns the hosts for a caller, best first: own zone, then own region, then less loaded. `random`
 // returns a uniform number in [0, n) and spreads callers over equals. At most `limit` carriers, of
 // two zones if there are two. Thread-safe.
 std::vector<membership::Member> choose(std::vector<membership::Member> members,
-                                       const std::string &zone, std::size_t limit,
+                                       const CallerPlace &place, std::size_t limit,
                                        const std::function<unsigned(unsigned)> &random);
 
 } // namespace goldcrestline::policy::entrypoints
--- a/packages/policy/membership/member.h
+++ b/packages/policy/membership/member.h
@@ -23,6 +23,7 @@
 {
     std::string name;
     std::string zone;
+    std::string region;
     std::string callersAddress;
     std::string controlAddress;
     std::string peersAddress;
--- a/tests/unit/loop_test.cpp
+++ b/tests/unit/loop_test.cpp
@@ -358,6 +358,16 @@
     CHECK(it.server.connections == 1);
 }
 
+TEST_CASE("a connection is given back soon once idle ones are not wanted")
+{
+    Client it;
+    it.server.script = {{okA}, {okB}};
+    it.client.setIdleTime(301ms);
+    CHECK(it.get().body == "A");
+    CHECK(it.get().body == "B");
+    CHECK(it.server.connections == 2);
+}
+
 TEST_CASE("bytes after an answer condemn the connection")
 {
     Client it;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -280,7 +280,8 @@
     }
     members[0].leaving = true;
     members[1].state = MemberState::Suspect;
-    const auto chosen = policy::entrypoints::choose(members, "a", 3, [](unsigned) { return 0U; });
+    const auto chosen =
+        policy::entrypoints::choose(members, {"a", ""}, 3, [](unsigned) { return 0U; });
     REQUIRE(chosen.size() == 3);
     CHECK(chosen[0].zone == "a");
     CHECK(chosen[1].zone == "a");
@@ -336,7 +337,7 @@
 {
     std::set<std::string> out;
     for (const auto &it :
-         policy::entrypoints::choose(members, zone, 8, [](unsigned) { return 0U; })) {
+         policy::entrypoints::choose(members, {zone, ""}, 8, [](unsigned) { return 0U; })) {
         if (it.zone == zone)
             out.insert(it.name);
     }
@@ -416,3 +417,17 @@
     CHECK(big > 0.25);
     CHECK(small < 0.03);
 }
+
+TEST_CASE("a caller whose zone has no host is sent to its own region first", "[entrypoints]")
+{
+    std::vector<Member> members;
+    for (const char *name : {"far1", "far2", "near1", "near2", "near3"}) {
+        members.push_back(hostOf(name, std::string("zone-") + name, 250));
+        members.back().region = members.back().name.substr(0, members.back().name.size() - 1);
+    }
+    const auto chosen =
+        policy::entrypoints::choose(members, {"zone-lost", "near"}, 8, [](unsigned) { return 0U; });
+    REQUIRE(chosen.size() == 5);
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(chosen[i].region == "near");
+}
