--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -61,14 +61,16 @@
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
-        const auto it = m_waiting.find(service);
-        if (it != m_waiting.end() && !it->second.empty() && it->second.begin()->rank < rank)
+        if (m_line.anyBefore(service, rank))
             return nullptr;
         return m_backends.pick(service, exclude, now);
     };
     m_hooks.hasUsable = [this](const std::string &service, const auto &exclude, TimePoint now) {
         return m_backends.hasUsable(service, exclude, now) || !m_serversKnown();
     };
+    m_hooks.outlook = [this](const std::string &service, CallRank rank, TimePoint now) {
+        return m_backends.outlook(service, m_line.countBefore(service, rank), now);
+    };
     m_hooks.spend = [this](const std::string &service, TimePoint) {
         return budget(service).spend();
     };
@@ -177,7 +179,7 @@
             return finish(id, running, std::get<Finish>(action), now);
         }
     }
-    trackWaiting(id, running);
+    m_line.update(id, running.call);
     schedule(id, running, now);
 }
 
@@ -302,7 +304,7 @@
     count(running, finish, now);
     logEnd(running, finish, now);
     detach(id, now + loserGrace, false);
-    forgetWaiting(id, running);
+    m_line.remove(id, running.call);
     m_wakes.erase({running.wakeAt, id});
     m_byFrontCall.erase(running.frontCall);
     const auto keep = std::move(m_calls[id]);
@@ -404,7 +406,7 @@
     ++m_counters.left;
     log.info("caller left id=" + running.requestId);
     detach(id, now + loserGrace, true);
-    forgetWaiting(id, running);
+    m_line.remove(id, running.call);
     m_wakes.erase({running.wakeAt, id});
     m_byFrontCall.erase(known);
     m_calls.erase(id);
@@ -460,41 +462,10 @@
     m_wakes.insert({wake, id});
 }
 
-void ForwardService::trackWaiting(std::uint64_t id, Running &running)
-{
-    const auto &services = running.call.services();
-    const bool any = running.call.anyWaiting();
-    if (!any && !running.waits)
-        return;
-    running.waits = any;
-    for (std::size_t part = 0; part < services.size(); ++part) {
-        const Waiting entry{running.call.rank(), id, part};
-        if (running.call.waitsInLine(part)) {
-            m_waiting[services[part]].insert(entry);
-        } else {
-            m_waiting[services[part]].erase(entry);
-        }
-    }
-}
-
-void ForwardService::forgetWaiting(std::uint64_t id, Running &running)
-{
-    if (!running.waits)
-        return;
-    running.waits = false;
-    const auto &services = running.call.services();
-    for (std::size_t part = 0; part < services.size(); ++part)
-        m_waiting[services[part]].erase({running.call.rank(), id, part});
-}
-
 void ForwardService::offerRoom(const std::string &service, TimePoint now)
 {
-    const auto it = m_waiting.find(service);
-    if (it == m_waiting.end() || it->second.empty())
-        return;
-    // A copy, since each offer may change the set.
-    const auto waiting = it->second;
-    for (const auto &entry : waiting) {
+    // A copy, since each offer may change the line.
+    for (const auto &entry : m_line.entries(service)) {
         if (m_backends.room(service, now) == 0)
             return;
         const auto call = m_calls.find(entry.call);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -11,6 +11,7 @@
 #include "policy/forward/patience.h"
 #include "policy/forward/route.h"
 #include "policy/forward/split.h"
+#include "policy/forward/waiting_line.h"
 #include "policy/retry/budget.h"
 
 #include <map>
@@ -89,7 +90,6 @@
         // The response that a plain route passes on.
         ports::ExchangeResult response;
         core::TimePoint wakeAt = core::TimePoint::max();
-        bool waits = false;
     };
     struct Attempt
     {
@@ -103,19 +103,6 @@
         // The caller left, so that silence says nothing of the server.
         bool withdrawn = false;
     };
-    // A part that waits for a server with room.
-    struct Waiting
-    {
-        policy::forward::CallRank rank;
-        std::uint64_t call = 0;
-        std::size_t part = 0;
-
-        // A call's rank is its own, so rank and part name an entry.
-        bool operator<(const Waiting &other) const
-        {
-            return rank < other.rank || (!(other.rank < rank) && part < other.part);
-        }
-    };
 
     void begin(adapters::loop::FrontCall &call, const platform::CallerNote &note,
                const policy::forward::Route &route, core::TimePoint now);
@@ -143,8 +130,6 @@
     void closeLate(core::TimePoint now);
     void offerRoom(const std::string &service, core::TimePoint now);
     void schedule(std::uint64_t id, Running &running, core::TimePoint now);
-    void trackWaiting(std::uint64_t id, Running &running);
-    void forgetWaiting(std::uint64_t id, Running &running);
     policy::retry::Budget &budget(const std::string &service);
     core::Millis retryAfter();
 
@@ -165,7 +150,7 @@
     // Attempts whose call ended, by the time at which they are given up.
     std::set<std::pair<core::TimePoint, policy::forward::AttemptId>> m_late;
     std::set<std::pair<core::TimePoint, std::uint64_t>> m_wakes;
-    std::unordered_map<std::string, std::set<Waiting>> m_waiting;
+    policy::forward::WaitingLine m_line;
     policy::forward::AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastCall = 0;
     ForwardCounters m_counters;
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -20,8 +20,10 @@
 constexpr double stallFloorMs = 8;
 // Cost of a stalled server, in ms: about the rest of a pause of 100 ms.
 constexpr double stallCostMs = 60;
-// Time in which a reported load loses half its weight.
+// Time in which a reported load loses half its weight, at least and as a multiple of the time that
+// the server takes for a request.
 constexpr double reportHalfLifeMs = 100;
+constexpr double reportWorkFactor = 2;
 // Spread of the random factor that keeps hosts from choosing alike.
 constexpr double costJitter = 0.2;
 
@@ -113,35 +115,92 @@
     return static_cast<int>(backend.pending.size()) < std::max(limit, 1);
 }
 
+// Returns the weight, 0 to 1, that the server's last sample still has.
+double BackendTable::sampleAge(const Backend &backend, TimePoint now) const
+{
+    return halving(core::toMillis(now - backend.sampledAt),
+                   core::toMillis(m_limits.sampleHalfLife));
+}
+
 double BackendTable::expectedMs(const Service &service, const Backend &backend, TimePoint now) const
 {
     const double typical = service.typicalMs > 0 ? service.typicalMs : m_limits.unknownLatencyMs;
     if (backend.latencyMs <= 0)
         return typical;
-    const double weight =
-        halving(core::toMillis(now - backend.sampledAt), core::toMillis(m_limits.sampleHalfLife));
+    const double weight = sampleAge(backend, now);
     return weight * backend.latencyMs + (1 - weight) * typical;
 }
 
+double BackendTable::queuedPerSlot(const Backend &backend, TimePoint now) const
+{
+    // The queue of a slow server changes as slowly as it works.
+    const double halfLifeMs = std::max(reportHalfLifeMs, reportWorkFactor * backend.workMs);
+    const double excess =
+        backend.reportedExcess * halving(core::toMillis(now - backend.reportedAt), halfLifeMs);
+    return (static_cast<double>(backend.pending.size()) + excess)
+        / std::max(backend.record.slots, 1);
+}
+
+// Returns the time lost at a server whose oldest request takes far longer than expected.
+double BackendTable::stallMs(const Backend &backend, double expectedMs, TimePoint now) const
+{
+    if (backend.pending.empty())
+        return 0;
+    const double age = core::toMillis(now - backend.pending.front());
+    return age > stallFactor * expectedMs + stallFloorMs ? stallCostMs + age : 0;
+}
+
+Outlook BackendTable::outlookAt(const Service &service, const Backend &backend, TimePoint now) const
+{
+    const double typical =
+        service.typicalWorkMs > 0 ? service.typicalWorkMs : m_limits.unknownLatencyMs;
+    const double weight = backend.workMs > 0 ? sampleAge(backend, now) : 0;
+    Outlook out;
+    out.workMs = weight * backend.workMs + (1 - weight) * typical;
+    // A request starts at once while a slot is free, and else when those before it left one free.
+    const double slots = std::max(backend.record.slots, 1);
+    const double rounds = std::max(0.0, queuedPerSlot(backend, now) - 1 + 1 / slots);
+    const double answer = out.workMs * (1 + rounds);
+    out.answerMs = answer + stallMs(backend, answer, now);
+    return out;
+}
+
+std::optional<Outlook> BackendTable::outlook(const std::string &service, std::size_t waiting,
+                                             TimePoint now) const
+{
+    const auto *found = find(service);
+    std::optional<Outlook> best;
+    if (found == nullptr)
+        return best;
+    std::size_t underWay = 0;
+    for (const auto &it : found->backends) {
+        if (!usable(*it, now))
+            continue;
+        underWay += it->pending.size();
+        const auto its = outlookAt(*found, *it, now);
+        if (!best || its.answerMs < best->answerMs)
+            best = its;
+    }
+    // The line moves on with each answer of this host's requests under way.
+    if (best && waiting > 0) {
+        const auto rounds =
+            static_cast<double>(waiting) / static_cast<double>(std::max<std::size_t>(underWay, 1));
+        best->answerMs *= 1 + rounds;
+    }
+    return best;
+}
+
 double BackendTable::cost(const Service &service, const Backend &backend, TimePoint now) const
 {
     const double latency = expectedMs(service, backend, now);
-    const int slots = std::max(backend.record.slots, 1);
-    const double excess = backend.reportedExcess
-        * halving(core::toMillis(now - backend.reportedAt), reportHalfLifeMs);
-    const double queued = static_cast<double>(backend.pending.size()) + excess;
-    double total = latency * (1 + queued / slots);
+    double total = latency * (1 + queuedPerSlot(backend, now));
     if (backend.record.zone != m_zone)
         total += m_limits.crossZonePenaltyMs;
     total += backend.failures.at(now, m_limits.failureHalfLife) * m_limits.failureCostMs;
     // A refusal now and then is the way of a busy server; many use up the budget of retries.
     const double refused = backend.refusals.at(now, m_limits.refusalHalfLife);
     total += refused * refused * m_limits.refusalCostMs;
-    if (!backend.pending.empty()) {
-        const double age = core::toMillis(now - backend.pending.front());
-        if (age > stallFactor * latency + stallFloorMs)
-            total += stallCostMs + age;
-    }
+    total += stallMs(backend, latency, now);
     return total * (1 + costJitter * (m_random() - 0.5));
 }
 
@@ -205,6 +264,7 @@
         backend.failures.add(false, failureWeight, now, m_limits.failureHalfLife);
         backend.refusals.add(false, refusalWeight, now, m_limits.refusalHalfLife);
         backend.failuresInRow = 0;
+        sampleWork(service, backend, latency, now);
         sample(service, backend, latency, now);
         return;
     case BackendEnd::Refused:
@@ -241,6 +301,20 @@
     backend.ejectedUntil = now + time;
 }
 
+void BackendTable::sampleWork(Service &service, Backend &backend, double latencyMs, TimePoint now)
+{
+    // The request waited behind about as many others as wait behind it now.
+    const double work = latencyMs / (1 + backend.reportedQueue);
+    if (service.typicalWorkMs <= 0)
+        service.typicalWorkMs = work;
+    if (backend.workMs <= 0)
+        backend.workMs = work;
+    const double weight = sampleAge(backend, now);
+    const double before = weight * backend.workMs + (1 - weight) * service.typicalWorkMs;
+    backend.workMs = before + sampleWeight * (work - before);
+    service.typicalWorkMs += typicalWeight * (work - service.typicalWorkMs);
+}
+
 void BackendTable::sample(Service &service, Backend &backend, double latencyMs, TimePoint now)
 {
     if (backend.latencyMs <= 0) {
@@ -262,6 +336,7 @@
 {
     const int own = static_cast<int>(backend.pending.size());
     backend.reportedExcess = std::max(0, running + waiting - own);
+    backend.reportedQueue = static_cast<double>(waiting) / std::max(slots, 1);
     backend.reportedAt = now;
     if (slots > 0)
         backend.record.slots = slots;
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -66,6 +67,8 @@
     // Attempts under way, oldest first.
     std::vector<core::TimePoint> pending;
     double latencyMs = 0;
+    // Time that the server works on a request, its queue left aside.
+    double workMs = 0;
     core::TimePoint sampledAt{};
     AgingShare failures;
     AgingShare refusals;
@@ -75,10 +78,21 @@
     core::TimePoint fullUntil{};
     // Requests running and waiting in excess of the slots, as the server told.
     double reportedExcess = 0;
+    // Requests that waited for a slot for each slot, as the server told with its last answer.
+    double reportedQueue = 0;
     core::TimePoint reportedAt{};
 };
 using BackendPtr = std::shared_ptr<Backend>;
 
+// What a request sent to a service now may expect from the best of its servers, in ms.
+struct Outlook
+{
+    // Time until the answer.
+    double answerMs = 0;
+    // The part of it for which a server works on the request; the rest is waiting.
+    double workMs = 0;
+};
+
 // Limits and weights of the choice.
 struct PlacementLimits
 {
@@ -142,6 +156,11 @@
     // Stops new work to a server that said it is leaving.
     void noteLeaving(Backend &backend);
 
+    // Returns what a request to the service may expect now, with `waiting` others of this host that
+    // get a server first; nothing without a usable server.
+    std::optional<Outlook> outlook(const std::string &service, std::size_t waiting,
+                                   core::TimePoint now) const;
+
     // Returns the number of requests that the service's usable servers may still take.
     int room(const std::string &service, core::TimePoint now) const;
 
@@ -150,6 +169,7 @@
     {
         std::vector<BackendPtr> backends;
         double typicalMs = 0;
+        double typicalWorkMs = 0;
     };
 
     const Service *find(const std::string &service) const;
@@ -157,6 +177,11 @@
     bool hasRoom(const Backend &backend, core::TimePoint now) const;
     // Latency to expect of an idle server: its own, which ages towards the service's typical one.
     double expectedMs(const Service &service, const Backend &backend, core::TimePoint now) const;
+    Outlook outlookAt(const Service &service, const Backend &backend, core::TimePoint now) const;
+    double sampleAge(const Backend &backend, core::TimePoint now) const;
+    double queuedPerSlot(const Backend &backend, core::TimePoint now) const;
+    double stallMs(const Backend &backend, double expectedMs, core::TimePoint now) const;
+    void sampleWork(Service &service, Backend &backend, double latencyMs, core::TimePoint now);
     double cost(const Service &service, const Backend &backend, core::TimePoint now) const;
     void sample(Service &service, Backend &backend, double latencyMs, core::TimePoint now);
     void fail(Backend &backend, core::TimePoint now, int weight);
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -10,6 +10,9 @@
 
 // Servers that one part may try while all of them refuse to start the request.
 constexpr std::size_t triesAtMost = 4;
+// A part is left out from this many times the time that is left: the expectation is rough, and a
+// part that comes in time is worth more than the work that it costs.
+constexpr double surelyLate = 1.25;
 // Pause before a part that found no room, or no budget, looks again.
 constexpr core::Duration retryPause = std::chrono::milliseconds(10);
 
@@ -23,13 +26,59 @@
 
 void Call::start(TimePoint now, CallActions &out)
 {
+    admit(now, out);
+    if (m_finished)
+        return;
     for (std::size_t part = 0; part < m_parts.size(); ++part) {
         m_hooks.earn(m_services[part], now);
-        trySend(part, now, out);
+        if (!m_parts[part].lost)
+            trySend(part, now, out);
     }
     conclude(now, out);
 }
 
+void Call::admit(TimePoint now, CallActions &out)
+{
+    if (now >= m_times.deadline)
+        return finish(CallEnd::NotRun, out);
+    const double leftMs = core::toMillis(m_times.objectiveAt - now);
+    std::size_t possible = m_parts.size();
+    std::vector<LatePart> late;
+    for (std::size_t part = 0; part < m_parts.size(); ++part) {
+        const auto outlook = m_hooks.outlook(m_services[part], rank(), now);
+        if (!outlook && !m_hooks.hasUsable(m_services[part], {}, now)) {
+            m_parts[part].lost = true;
+            --possible;
+        } else if (outlook && leftMs > 0 && outlook->answerMs > leftMs) {
+            late.push_back({part, *outlook});
+        }
+    }
+    std::sort(late.begin(), late.end(), [](const LatePart &a, const LatePart &b) {
+        return a.outlook.answerMs > b.outlook.answerMs;
+    });
+    for (const auto &it : late) {
+        m_parts[it.part].expectedMs = it.outlook.answerMs;
+        if (m_route.fansOut() && enough(possible - 1)) {
+            // The answer does without the part; its servers have room for those who need it.
+            m_parts[it.part].lost = it.outlook.answerMs > surelyLate * leftMs;
+            --possible;
+        } else if (hopeless(it.outlook, now)) {
+            return finish(CallEnd::NotRun, out);
+        }
+    }
+    if (!enough(possible))
+        finish(CallEnd::NotRun, out);
+}
+
+bool Call::hopeless(const Outlook &outlook, TimePoint now) const
+{
+    if (outlook.answerMs > core::toMillis(m_times.deadline - now))
+        return true;
+    // Servers that are too slow for the objective even when idle still serve late; where only the
+    // queue is too long, further requests would make all of them late.
+    return outlook.workMs <= surelyLate * core::toMillis(m_times.objectiveAt - now);
+}
+
 void Call::trySend(std::size_t part, TimePoint now, CallActions &out)
 {
     auto &state = m_parts[part];
@@ -101,6 +150,8 @@
         if (state.done)
             continue;
         std::string text = m_services[part] + (state.lost ? ":lost" : ":open");
+        if (state.expectedMs > 0)
+            text += ":expected(" + std::to_string(static_cast<int>(state.expectedMs)) + "ms)";
         if (state.waiting)
             text += ":waits";
         for (const auto &it : state.tried) {
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -107,6 +107,10 @@
     std::function<bool(const std::string &service, const std::vector<BackendPtr> &exclude,
                        core::TimePoint now)>
         hasUsable;
+    // Returns what a request to the service may expect now; nothing without a usable server.
+    std::function<std::optional<Outlook>(const std::string &service, CallRank rank,
+                                         core::TimePoint now)>
+        outlook;
     // Takes from the service's budget of extra attempts; false if it is used up.
     std::function<bool(const std::string &service, core::TimePoint now)> spend;
     // Counts a first attempt, which adds to that budget.
@@ -125,7 +129,7 @@
     Call(RouteTablePtr table, const Route &route, std::vector<std::string> services,
          std::uint64_t sequence, CallTimes times, const CallHooks &hooks);
 
-    // Sends the first attempts. Call once.
+    // Sends the first attempts, or refuses the call if they would come too late. Call once.
     void start(core::TimePoint now, CallActions &out);
 
     // Takes a response. The caller keeps a success's body for the part, and the body of the last
@@ -184,6 +188,19 @@
         int mayHaveRun = 0;
         std::vector<BackendPtr> tried;
         core::TimePoint hedgeAt = core::TimePoint::max();
+        // Time after which an answer was expected, in ms, if that was too late; 0 if not.
+        double expectedMs = 0;
+    };
+
+    // Leaves out parts that would come too late, and refuses the call if it needs one of them.
+    void admit(core::TimePoint now, CallActions &out);
+    // Tells whether a request that is not on time should not be sent at all.
+    bool hopeless(const Outlook &outlook, core::TimePoint now) const;
+    // A part that is expected after the objective.
+    struct LatePart
+    {
+        std::size_t part = 0;
+        Outlook outlook;
     };
 
     void trySend(std::size_t part, core::TimePoint now, CallActions &out);
--- /dev/null
+++ b/packages/policy/forward/waiting_line.cpp
@@ -0,0 +1,60 @@
+#include "policy/forward/waiting_line.h"
+
+#include <iterator>
+
+namespace goldcrestline::policy::forward {
+
+void WaitingLine::update(std::uint64_t id, const Call &call)
+{
+    const bool waits = call.anyWaiting();
+    if (!waits && m_calls.count(id) == 0)
+        return;
+    const auto &services = call.services();
+    for (std::size_t part = 0; part < services.size(); ++part) {
+        const Entry entry{call.rank(), id, part};
+        if (call.waitsInLine(part)) {
+            m_lines[services[part]].insert(entry);
+        } else {
+            m_lines[services[part]].erase(entry);
+        }
+    }
+    if (waits) {
+        m_calls.insert(id);
+    } else {
+        m_calls.erase(id);
+    }
+}
+
+void WaitingLine::remove(std::uint64_t id, const Call &call)
+{
+    if (m_calls.erase(id) == 0)
+        return;
+    const auto &services = call.services();
+    for (std::size_t part = 0; part < services.size(); ++part)
+        m_lines[services[part]].erase({call.rank(), id, part});
+}
+
+bool WaitingLine::anyBefore(const std::string &service, CallRank rank) const
+{
+    const auto it = m_lines.find(service);
+    return it != m_lines.end() && !it->second.empty() && it->second.begin()->rank < rank;
+}
+
+std::size_t WaitingLine::countBefore(const std::string &service, CallRank rank) const
+{
+    const auto it = m_lines.find(service);
+    if (it == m_lines.end())
+        return 0;
+    const auto end = it->second.lower_bound({rank, 0, 0});
+    return static_cast<std::size_t>(std::distance(it->second.begin(), end));
+}
+
+std::vector<WaitingLine::Entry> WaitingLine::entries(const std::string &service) const
+{
+    const auto it = m_lines.find(service);
+    if (it == m_lines.end())
+        return {};
+    return {it->second.begin(), it->second.end()};
+}
+
+} // namespace goldcrestline::policy::forward
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -23,6 +23,8 @@
 {
     std::map<std::string, std::vector<BackendPtr>> servers;
     std::set<BackendPtr> full;
+    // What the services' servers promise, where it is not a quick answer.
+    std::map<std::string, Outlook> outlooks;
     std::map<std::string, policy::retry::Budget> budgets;
     AttemptId last = 0;
     int spent = 0;
@@ -43,6 +45,13 @@
                 return std::find(exclude.begin(), exclude.end(), it) == exclude.end();
             });
         };
+        hooks.outlook = [this](const std::string &service, CallRank,
+                               TimePoint) -> std::optional<Outlook> {
+            if (servers[service].empty())
+                return std::nullopt;
+            const auto it = outlooks.find(service);
+            return it == outlooks.end() ? Outlook{10, 10} : it->second;
+        };
         hooks.spend = [this](const std::string &service, TimePoint) {
             const bool may = budgets.try_emplace(service, 0.2, 3).first->second.spend();
             spent += may ? 1 : 0;
@@ -314,6 +323,74 @@
     }
 }
 
+TEST_CASE("a request that would only wait too long is refused before anything is sent")
+{
+    World world;
+    const auto route = fanoutRoute(10, 0.9);
+    for (const auto &it : route.shards)
+        world.add(it, 3);
+    SECTION("one late part that the answer can do without is left out")
+    {
+        world.outlooks["shard4"] = {400, 40};
+        Run run(world, route);
+        CHECK(run.ends.empty());
+        CHECK(run.sends.size() == 9);
+    }
+    SECTION("a part that is only just late is sent for all the same")
+    {
+        world.outlooks["shard4"] = {100, 40};
+        Run run(world, route);
+        CHECK(run.sends.size() == 10);
+    }
+    SECTION("a second one is needed")
+    {
+        world.outlooks["shard4"] = {400, 40};
+        world.outlooks["shard7"] = {200, 40};
+        Run run(world, route);
+        CHECK(run.sends.empty());
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::NotRun);
+    }
+    SECTION("servers that are slow even when idle serve late")
+    {
+        world.outlooks["shard4"] = {400, 40};
+        world.outlooks["shard7"] = {200, 190};
+        Run run(world, route);
+        CHECK(run.ends.empty());
+        CHECK(run.sends.size() == 9);
+    }
+    SECTION("nothing comes before the deadline")
+    {
+        world.outlooks["shard4"] = {900, 800};
+        world.outlooks["shard7"] = {800, 800};
+        Run run(world, route);
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::NotRun);
+    }
+    SECTION("too few shards have servers")
+    {
+        world.servers["shard1"].clear();
+        world.servers["shard2"].clear();
+        Run run(world, route);
+        CHECK(run.sends.empty());
+        REQUIRE(run.ends.size() == 1);
+        CHECK(run.ends[0].end == CallEnd::NotRun);
+    }
+}
+
+TEST_CASE("a request whose caller's patience is over is not sent")
+{
+    World world;
+    world.add("s", 2);
+    const auto table = tableOf(plainRoute(Repeatability::NonIdempotent));
+    Call call(table, table->routes().front(), {"s"}, 1,
+              {start, start + 90ms, start - 1ms, start + 20ms}, world.hooks);
+    CallActions out;
+    call.start(start, out);
+    REQUIRE(out.size() == 1);
+    CHECK(std::get<Finish>(out[0]).end == CallEnd::NotRun);
+}
+
 // Plays a call against servers whose behaviour follows from the seed and checks what must hold.
 TEST_CASE("calls keep their promises whatever the servers do")
 {
@@ -334,6 +411,11 @@
             world.add("s", static_cast<int>(below(5)));
         }
         route.maxAttempts = 1 + static_cast<int>(below(3));
+        for (const auto &it : world.servers) {
+            const double workMs = below(200);
+            if (below(3) == 0)
+                world.outlooks[it.first] = {workMs + below(500), workMs};
+        }
         Run run(world, route);
         std::map<std::size_t, int> ran;
         std::set<AttemptId> open;
