Ask idle servers however slow they are; bound the log and never wait for its reader

A request is now refused for a wait of a quarter of its time or more only.

Second: a log line was a blocking write, so a reader that stops would have stopped the host. Lines are bounded to 200 a second (1,000 at once), are left out while the pipe has no room, and the number left out is told by the next line and in the metrics.

--- a/packages/adapters/logging/log.h
+++ b/packages/adapters/logging/log.h
@@ -2,10 +2,13 @@
 
 #include "core/name_table.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
-// Logs through easylogging++: one short line per event with a fixed prefix for each part.
+// Logs through easylogging++: one short line per event with a fixed prefix for each part. Lines go
+// to standard output and never block: those past the budget, and those that a slow reader has no
+// room for, are left out, counted, and told of by the next line that is written.
 namespace goldcrestline::adapters::logging {
 
 enum class Level { Debug, Info, Warning, Error };
@@ -20,6 +23,9 @@
 // Sets the lowest level that is printed. Call once, before other threads start.
 void configure(Level level);
 
+// Returns the number of lines left out since the start. Thread-safe.
+std::uint64_t linesLeftOut();
+
 // The channel of one part. Thread-safe.
 class LogChannel
 {
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -36,6 +36,8 @@
         // For routes: where callers ask for addresses, and where the platform asks for readiness.
         TextNode directory{this, "directory", "", Presence::Optional};
         TextNode readiness{this, "readiness", "", Presence::Optional};
+        // For routes: a further address for metrics; the control address serves them anyway.
+        TextNode metrics{this, "metrics", "", Presence::Optional};
     } listen{this, "listen"};
 
     struct Platform : Section
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -27,6 +27,7 @@
 using adapters::loop::ExchangeClient;
 using adapters::loop::ExchangeOptions;
 using adapters::loop::FrontCall;
+using adapters::loop::FrontLimits;
 using adapters::loop::FrontServer;
 using core::ResultCode;
 using core::TimePoint;
@@ -49,6 +50,7 @@
 // Period of checks on how busy this host is.
 constexpr core::Millis strainCheck{1000};
 constexpr double thousandths = 1000;
+constexpr double percent = 100;
 // Time for which idle connections to servers are kept on a host that callers are not sent to: each
 // server takes fewer connections than there are hosts.
 constexpr core::Millis spareIdleTime{600};
@@ -89,7 +91,10 @@
           m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
           m_control(m_io, m_settings->listen.control.value, {}, plainHooks())
-    { }
+    {
+        if (!m_settings->listen.metrics.value.empty())
+            m_metrics.emplace(m_io, m_settings->listen.metrics.value, FrontLimits(), plainHooks());
+    }
 
     void run()
     {
@@ -267,6 +272,8 @@
         gauges.storeCalls = m_copy.storeCalls();
         gauges.storeReached = m_copy.storeReached();
         gauges.connectionsOpened = m_backendClient.opened();
+        gauges.logLinesLeftOut = adapters::logging::linesLeftOut();
+        gauges.usePercent = static_cast<std::uint64_t>(percent * m_strain.use());
         gauges.stopping = m_stopping;
         return {200, {{"Content-Type", "text/plain"}}, printMetrics(gauges, m_forward.counters())};
     }
@@ -387,6 +394,8 @@
         m_registry.tick(now);
         for (auto *it : {&m_callers, &m_directory, &m_readiness, &m_control})
             it->tick(now);
+        if (m_metrics)
+            m_metrics->tick(now);
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
@@ -450,6 +459,8 @@
     FrontServer m_directory;
     FrontServer m_readiness;
     FrontServer m_control;
+    // A port of its own for metrics, where the platform reads them.
+    std::optional<FrontServer> m_metrics;
     TimePoint m_armedAt = TimePoint::max();
     TimePoint m_housekeepingAt{};
     TimePoint m_memberTickAt{};
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -20,6 +20,8 @@
     line(out, "store_calls_total", gauges.storeCalls);
     line(out, "store_reached", gauges.storeReached ? 1 : 0);
     line(out, "connections_opened_total", gauges.connectionsOpened);
+    line(out, "log_lines_left_out_total", gauges.logLinesLeftOut);
+    line(out, "processor_use_percent", gauges.usePercent);
     line(out, "stopping", gauges.stopping ? 1 : 0);
     line(out, "requests_total", counters.requests);
     line(out, "requests_answered_total", counters.answered);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -16,6 +16,9 @@
     std::uint64_t storeCalls = 0;
     bool storeReached = false;
     std::uint64_t connectionsOpened = 0;
+    std::uint64_t logLinesLeftOut = 0;
+    // Estimated use of the processor in hundredths.
+    std::uint64_t usePercent = 0;
     bool stopping = false;
 };
 
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -13,6 +13,9 @@
 // A part is left out from this many times the time that is left: the expectation is rough, and a
 // part that comes in time is worth more than the work that it costs.
 constexpr double surelyLate = 1.25;
+// Wait for a slot, as a share of the time that is left, that is worth refusing a late request for:
+// the same margin, so that idle servers are always asked.
+constexpr double longWait = surelyLate - 1;
 // Pause before a part that found no room, or no budget, looks again.
 constexpr core::Duration retryPause = std::chrono::milliseconds(10);
 
@@ -74,9 +77,11 @@
 {
     if (outlook.answerMs > core::toMillis(m_times.deadline - now))
         return true;
-    // Servers that are too slow for the objective even when idle still serve late; where only the
-    // queue is too long, further requests would make all of them late.
-    return outlook.workMs <= surelyLate * core::toMillis(m_times.objectiveAt - now);
+    const double leftMs = core::toMillis(m_times.objectiveAt - now);
+    // Servers that are too slow for the objective even when idle still serve late; where the queue
+    // is too long, further requests would make all of them late.
+    return outlook.workMs <= surelyLate * leftMs
+        && outlook.answerMs - outlook.workMs > longWait * leftMs;
 }
 
 void Call::trySend(std::size_t part, TimePoint now, CallActions &out)
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -359,6 +359,14 @@
         CHECK(run.ends.empty());
         CHECK(run.sends.size() == 9);
     }
+    SECTION("an idle server that is only just too slow is asked")
+    {
+        for (const auto &it : route.shards)
+            world.outlooks[it] = {100, 100};
+        Run run(world, route);
+        CHECK(run.ends.empty());
+        CHECK(run.sends.size() == 10);
+    }
     SECTION("nothing comes before the deadline")
     {
         world.outlooks["shard4"] = {900, 800};
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -348,3 +348,18 @@
     CHECK(tallies["lookup"].refused == 0);
     CHECK(tallies["lookup"].late >= tallies["lookup"].asked * 9 / 10);
 }
+
+TEST_CASE("servers whose work takes about the objective are never idle while callers are refused",
+          "[overload]")
+{
+    // Objective and work are so close that the estimate is now above, now below it.
+    for (const double factor : {8.0, 9.0, 9.6, 10.5, 12.0}) {
+        Replay replay(10, true);
+        replay.slow(2, factor);
+        auto tallies = replay.run({{"lookup", 20, 11ms, 105ms, 900ms, 1, 1}}, 10s);
+        const auto &lookup = tallies["lookup"];
+        INFO("factor " << factor << " refused " << lookup.refused << " late " << lookup.late);
+        // 20 a second are less than half of what six slots can do.
+        CHECK(lookup.refused <= lookup.asked / 20);
+    }
+}
