--- a/packages/daemon/engine/engine.cpp
+++ b/packages/daemon/engine/engine.cpp
@@ -4,17 +4,18 @@
 #include "adapters/loop/exchange_client.h"
 #include "adapters/loop/front_server.h"
 #include "adapters/loop/loop_server_channel.h"
+#include "adapters/loop/wake_timer.h"
 #include "adapters/peers/loop_peer_link.h"
 #include "daemon/control/routes.h"
 #include "daemon/engine/answers.h"
 #include "daemon/engine/peer_service.h"
 #include "daemon/engine/reports.h"
 #include "daemon/engine/stop_sequence.h"
+#include "daemon/peers/member_setup.h"
 #include "platform/document_store.h"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cctype>
 #include <csignal>
 
@@ -34,28 +35,6 @@
 constexpr std::string_view queryPrefix = "/v1/query/";
 constexpr std::string_view requestPrefix = "/v1/request/";
 
-policy::membership::Member selfOf(const adapters::settings::Settings &settings,
-                                  const policy::once::KeyIssuer &keys)
-{
-    policy::membership::Member self;
-    self.name = settings.host.name.value;
-    self.zone = settings.host.zone.value;
-    self.callersAddress = settings.listen.callers.value;
-    self.controlAddress = settings.listen.control.value;
-    self.peersAddress = settings.listen.peers.value;
-    self.incarnation = keys.incarnation();
-    return self;
-}
-
-policy::membership::MembershipTimes timesOf(const adapters::settings::Settings &settings)
-{
-    policy::membership::MembershipTimes times;
-    times.period = settings.peers.periodMs.millis();
-    times.suspicion = settings.peers.suspicionMs.millis();
-    times.handoverMemory = settings.callers.keyLifeMs.millis();
-    return times;
-}
-
 std::function<unsigned(unsigned)> makeRandom()
 {
     auto generator = std::make_shared<std::mt19937>(std::random_device{}());
@@ -103,11 +82,11 @@
 public:
     Loop(const std::shared_ptr<const adapters::settings::Settings> &settings,
          const std::shared_ptr<const policy::once::KeyIssuer> &keys)
-        : m_timer(m_io), m_signals(m_io, SIGTERM, SIGINT),
+        : m_timer(m_io, [this] { onTimer(); }), m_signals(m_io, SIGTERM, SIGINT),
           m_host(settings,
-                 policy::membership::MemberTable(selfOf(*settings, *keys),
-                                                 settings->peers.seeds.value, timesOf(*settings),
-                                                 makeRandom()),
+                 policy::membership::MemberTable(peers::selfOf(*settings, keys->incarnation()),
+                                                 settings->peers.seeds.value,
+                                                 peers::timesOf(*settings), makeRandom()),
                  keys),
           m_client(m_io, clientOptions()), m_channel(m_client, channelLimits()),
           m_platform(
@@ -213,24 +192,12 @@
 
     void onTimer()
     {
-        m_armedAt = TimePoint::max();
         m_host.timers.runDue(core::Clock::now());
         arm(core::Clock::now());
     }
 
     // Sets the timer to the next work if that comes before the time that is set.
-    void arm(TimePoint now)
-    {
-        const auto next = std::max(now, m_host.timers.next());
-        if (next >= m_armedAt)
-            return;
-        m_armedAt = next;
-        m_timer.expires_at(next);
-        m_timer.async_wait([this](boost::system::error_code ec) {
-            if (!ec)
-                onTimer();
-        });
-    }
+    void arm(TimePoint now) { m_timer.arm(m_host.timers.next(), now); }
 
     void startPeriodicWork(TimePoint now)
     {
@@ -300,7 +267,7 @@
     }
 
     boost::asio::io_context m_io{1};
-    boost::asio::steady_timer m_timer;
+    adapters::loop::WakeTimer m_timer;
     boost::asio::signal_set m_signals;
     StatusBoard m_board;
     HostState m_host;
@@ -318,7 +285,6 @@
     control::Routes m_routes;
     adapters::loop::FrontServer m_callers;
     adapters::loop::FrontServer m_control;
-    TimePoint m_armedAt = TimePoint::max();
 };
 
 Engine::Engine(const std::shared_ptr<const adapters::settings::Settings> &settings,
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -3,12 +3,15 @@
 #include "adapters/logging/log.h"
 #include "adapters/loop/exchange_client.h"
 #include "adapters/loop/front_server.h"
+#include "adapters/loop/wake_timer.h"
 #include "adapters/peers/loop_peer_link.h"
 #include "core/result_code.h"
+#include "daemon/forward/fleet_share.h"
 #include "daemon/forward/forward_service.h"
 #include "daemon/forward/host_registry.h"
 #include "daemon/forward/metrics.h"
 #include "daemon/forward/platform_copy.h"
+#include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
 #include "platform/dialect.h"
 #include "policy/entrypoints/entry_points.h"
@@ -16,7 +19,6 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <filesystem>
 #include <random>
@@ -49,7 +51,6 @@
 constexpr std::string_view metricsPath = "/v1/metrics";
 // Period of checks on how busy this host is.
 constexpr core::Millis strainCheck{1000};
-constexpr double thousandths = 1000;
 constexpr double percent = 100;
 // Time for which idle connections to servers are kept on a host that callers are not sent to: each
 // server takes fewer connections than there are hosts.
@@ -58,9 +59,6 @@
 constexpr std::size_t addressesAtMost = 8;
 // Addresses that a caller is told of at least, if there are as many hosts.
 constexpr std::size_t fewestAddresses = 2;
-// Part of the fleet's budget of extra attempts that is used; the rest covers hosts that restart
-// with a full one.
-constexpr double budgetShare = 0.9;
 
 ports::Outgoing unreadable(int status, const std::string &why)
 {
@@ -73,8 +71,9 @@
 {
 public:
     Host(std::shared_ptr<const adapters::settings::Settings> settings, std::string path)
-        : m_settings(std::move(settings)), m_path(std::move(path)), m_signals(m_io), m_timer(m_io),
-          m_backendClient(m_io, {}), m_storeClient(m_io, storeOptions()),
+        : m_settings(std::move(settings)), m_path(std::move(path)), m_signals(m_io),
+          m_timer(m_io, [this] { onTimer(); }), m_share(*m_settings), m_backendClient(m_io, {}),
+          m_storeClient(m_io, storeOptions()),
           m_backends(
               m_settings->host.zone.value, {},
               [this](const std::string &service) { return connectionShare(service); },
@@ -86,7 +85,8 @@
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_copy(m_storeClient, m_backends, m_link, copyHooks()), m_members(memberTable()),
           m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
-          m_strain(cores()), m_registry(m_members.self(), m_storeClient, registryHooks()),
+          m_strain(peers::coresOf(*m_settings)),
+          m_registry(m_members.self(), m_storeClient, registryHooks()),
           m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
           m_directory(m_io, m_settings->listen.directory.value, {}, plainHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, plainHooks()),
@@ -131,34 +131,17 @@
         ForwardLimits limits;
         limits.callerTransit = forward.callerTransitMs.millis();
         limits.extraShare = budgetShare * forward.extraShare.value;
-        limits.extraBurst = extraBurst();
+        limits.extraBurst = m_share.extraBurst();
         return limits;
     }
 
-    double extraBurst() const
-    {
-        return std::max(1.0, budgetShare * m_settings->forward.extraSlack.value * m_share);
-    }
-
-    std::size_t hostsAtLeast() const
-    {
-        return static_cast<std::size_t>(m_settings->peers.hostsAtMost.value);
-    }
-
     // Divides the fleet's allowances among the hosts as they are now.
-    void divideAllowances()
+    void divideAllowances(TimePoint now)
     {
-        const auto &self = m_members.self().name;
-        m_share = policy::entrypoints::allowanceShare(m_members.live(), self, hostsAtLeast());
-        m_forward.setExtraBurst(extraBurst());
-        const bool carries =
-            policy::entrypoints::isAmong(policy::entrypoints::carriers(m_members.live()), self);
-        m_backendClient.setIdleTime(carries ? ExchangeOptions().idleTime : spareIdleTime);
-    }
-
-    double cores() const
-    {
-        return m_settings->host.coreShare.value * static_cast<double>(m_settings->host.cores.value);
+        m_share.update(m_members, now);
+        m_forward.setExtraBurst(m_share.extraBurst());
+        m_backendClient.setIdleTime(m_share.carriesCallers() ? ExchangeOptions().idleTime
+                                                             : spareIdleTime);
     }
 
     int connectionShare(const std::string &service) const
@@ -168,24 +151,14 @@
             return 1;
         const auto it = routes->services().find(service);
         const int all = it == routes->services().end() ? 1 : it->second.connections;
-        return std::max(1, static_cast<int>(all * m_share));
+        return m_share.connections(all);
     }
 
     policy::membership::MemberTable memberTable()
     {
-        policy::membership::Member self;
-        self.name = m_settings->host.name.value;
-        self.zone = m_settings->host.zone.value;
-        self.region = m_settings->host.region.value;
-        self.callersAddress = m_settings->listen.callers.value;
-        self.controlAddress = m_settings->listen.control.value;
-        self.peersAddress = m_settings->listen.peers.value;
-        self.capacity = static_cast<std::uint32_t>(thousandths * cores());
-        self.incarnation = static_cast<std::uint64_t>(core::wallNow());
-        policy::membership::MembershipTimes times;
-        times.period = m_settings->peers.periodMs.millis();
-        times.suspicion = m_settings->peers.suspicionMs.millis();
-        return {std::move(self), seeds(), times, [this](unsigned n) { return below(n); }};
+        auto self = peers::selfOf(*m_settings, static_cast<std::uint64_t>(core::wallNow()));
+        return {std::move(self), seeds(), peers::timesOf(*m_settings),
+                [this](unsigned n) { return below(n); }};
     }
 
     // Hosts of a deployment listen for peers on the same port.
@@ -376,7 +349,6 @@
     void onTimer()
     {
         const auto now = core::Clock::now();
-        m_armedAt = TimePoint::max();
         m_forward.tick(now);
         m_link.tick(now);
         if (now >= m_housekeepingAt) {
@@ -399,7 +371,7 @@
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
-            divideAllowances();
+            divideAllowances(now);
         }
         if (now >= m_strainCheckAt) {
             m_strainCheckAt = now + strainCheck;
@@ -423,28 +395,15 @@
     }
 
     // Sets the timer to the next work if that comes before the time that is set.
-    void arm(TimePoint now)
-    {
-        auto next = std::min(m_housekeepingAt, m_forward.nextAt());
-        next = std::max(next, now);
-        if (next >= m_armedAt)
-            return;
-        m_armedAt = next;
-        m_timer.expires_at(next);
-        m_timer.async_wait([this](boost::system::error_code ec) {
-            if (!ec)
-                onTimer();
-        });
-    }
+    void arm(TimePoint now) { m_timer.arm(std::min(m_housekeepingAt, m_forward.nextAt()), now); }
 
     std::shared_ptr<const adapters::settings::Settings> m_settings;
     std::string m_path;
-    // Part of the fleet's allowances that this host may use.
-    double m_share = 1.0 / static_cast<double>(m_settings->peers.hostsAtMost.value);
     std::mt19937 m_random{std::random_device{}()};
     asio::io_context m_io{1};
     asio::signal_set m_signals;
-    asio::steady_timer m_timer;
+    adapters::loop::WakeTimer m_timer;
+    FleetShare m_share;
     ExchangeClient m_backendClient;
     ExchangeClient m_storeClient;
     policy::forward::BackendTable m_backends;
@@ -461,7 +420,6 @@
     FrontServer m_control;
     // A port of its own for metrics, where the platform reads them.
     std::optional<FrontServer> m_metrics;
-    TimePoint m_armedAt = TimePoint::max();
     TimePoint m_housekeepingAt{};
     TimePoint m_memberTickAt{};
     TimePoint m_strainCheckAt{};
--- /dev/null
+++ b/packages/daemon/peers/member_setup.cpp
@@ -0,0 +1,40 @@
+#include "daemon/peers/member_setup.h"
+
+namespace goldcrestline::daemon::peers {
+
+namespace {
+
+constexpr double thousandths = 1000;
+
+} // namespace
+
+policy::membership::Member selfOf(const adapters::settings::Settings &settings,
+                                  std::uint64_t incarnation)
+{
+    policy::membership::Member self;
+    self.name = settings.host.name.value;
+    self.zone = settings.host.zone.value;
+    self.region = settings.host.region.value;
+    self.callersAddress = settings.listen.callers.value;
+    self.controlAddress = settings.listen.control.value;
+    self.peersAddress = settings.listen.peers.value;
+    self.capacity = static_cast<std::uint32_t>(thousandths * coresOf(settings));
+    self.incarnation = incarnation;
+    return self;
+}
+
+policy::membership::MembershipTimes timesOf(const adapters::settings::Settings &settings)
+{
+    policy::membership::MembershipTimes times;
+    times.period = settings.peers.periodMs.millis();
+    times.suspicion = settings.peers.suspicionMs.millis();
+    times.handoverMemory = settings.callers.keyLifeMs.millis();
+    return times;
+}
+
+double coresOf(const adapters::settings::Settings &settings)
+{
+    return settings.host.coreShare.value * static_cast<double>(settings.host.cores.value);
+}
+
+} // namespace goldcrestline::daemon::peers
--- a/packages/policy/entrypoints/entry_points.cpp
+++ b/packages/policy/entrypoints/entry_points.cpp
@@ -24,6 +24,10 @@
 // rest, since callers keep addresses and may come to any host.
 constexpr double carrierPart = 0.5;
 
+// Time after a start in which a host opens one connection to a server: servers that lost their
+// other ends without a word, as when all hosts lose power, hold those for about as long.
+constexpr core::Duration frugalTime = std::chrono::seconds(10);
+
 struct ZoneCapacity
 {
     std::uint32_t largest = 0;
@@ -85,6 +89,13 @@
     return (carries ? partOf(carrying.size()) : 0) + partOf(members.size());
 }
 
+int connectionShare(int all, double share, core::Duration age)
+{
+    if (age < frugalTime)
+        return 1;
+    return std::max(1, static_cast<int>(all * share));
+}
+
 std::vector<Member> choose(std::vector<Member> members, const CallerPlace &place, std::size_t limit,
                            const std::function<unsigned(unsigned)> &random)
 {
--- a/packages/policy/entrypoints/entry_points.h
+++ b/packages/policy/entrypoints/entry_points.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "policy/membership/member.h"
 
 #include <functional>
@@ -23,6 +24,10 @@
 double allowanceShare(const std::vector<membership::Member> &members, const std::string &host,
                       std::size_t hostsAtLeast);
 
+// Returns how many connections a host may have to a server that takes `all`, with `share` as
+// returned by allowanceShare() and `age` as the time since the host started. Thread-safe.
+int connectionShare(int all, double share, core::Duration age);
+
 // Where a caller is; the region may be empty.
 struct CallerPlace
 {
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -8,7 +8,7 @@
 
 const std::string loopback = "127.0.0.1:";
 const std::vector<std::string> zones{"a", "b", "c"};
-constexpr std::size_t portsOfHost = 5;
+constexpr std::size_t portsOfHost = 6;
 
 const char *services = R"({"services": {"shard0": {}, "shard1": {}, "shard2": {},
     "single": {"servers": 4}, "left": {}, "right": {}}})";
@@ -66,8 +66,8 @@
         host.name = "host-" + std::to_string(i);
         host.zone = zones[i % zones.size()];
         std::size_t port = portsOfHost * i;
-        for (auto *it :
-             {&host.callers, &host.control, &host.directory, &host.readiness, &host.peers})
+        for (auto *it : {&host.callers, &host.control, &host.directory, &host.readiness,
+                         &host.peers, &host.metrics})
             *it = loopback + std::to_string(ports[port++]);
         host.settingsPath = scratchFolder() + "/settings.toml";
         m_hosts.push_back(std::move(host));
@@ -92,8 +92,9 @@
     return "[host]\nname = \"" + host.name + "\"\nzone = \"" + host.zone
         + "\"\nserves = \"routes\"\n[listen]\ncallers = \"" + host.callers + "\"\ncontrol = \""
         + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
-        + host.readiness + "\"\npeers = \"" + host.peers + "\"\n[platform]\naddress = \""
-        + m_platformAddress + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
+        + host.readiness + "\"\npeers = \"" + host.peers + "\"\nmetrics = \"" + host.metrics
+        + "\"\n[platform]\naddress = \"" + m_platformAddress
+        + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
 }
 
 void RoutedCluster::start(std::size_t n)
@@ -149,7 +150,7 @@
 
 double RoutedCluster::metric(std::size_t n, const std::string &name) const
 {
-    const auto text = "\n" + get(m_hosts[n].control + "/v1/metrics").body;
+    const auto text = "\n" + get(m_hosts[n].metrics + "/v1/metrics").body;
     const auto key = "\ngoldcrestline_" + name + " ";
     const auto at = text.find(key);
     return at == std::string::npos ? -1 : std::stod(text.substr(at + key.size()));
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -16,6 +16,7 @@
         std::string control;
         std::string directory;
         std::string readiness;
+        std::string metrics;
         std::string peers;
         std::string settingsPath;
         std::unique_ptr<Process> process;
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -131,6 +131,39 @@
 mutant cut-at-stop packages/daemon/forward/forward_host.cpp \
     's/if \(m_callers.busy\(\) == 0 \|\| now >= m_exitAt\)/if (true)/' \
     process_tests "a planned stop cuts no request and takes the host out at once"
+mutant never-early $policy/forward/call.cpp \
+    's/    admit\(now, out\);\n//' \
+    unit_tests "with a shard dark and another slow, those who can be served in time are"
+mutant idle-refused $policy/forward/call.cpp \
+    's/constexpr double longWait = surelyLate - 1;/constexpr double longWait = -9;/' \
+    unit_tests "servers whose work takes about the objective are never idle while callers are refused"
+mutant line-ignored $policy/forward/backend_table.cpp \
+    's/if \(best && waiting > 0\)/if (false)/' \
+    unit_tests "with a shard dark and another slow, those who can be served in time are"
+mutant pooled-kinds $policy/forward/lateness.cpp \
+    's/m_lateMs.try_emplace\(route,/m_lateMs.try_emplace(std::string("all"),/; s/m_lateMs.find\(route\)/m_lateMs.find("all")/' \
+    unit_tests "a short route is hedged by its own latencies and not by those of a long one"
+mutant eager-watch $policy/mirror/mirror.cpp \
+    's/std::min\(2 \* m_settle, m_times.longestSettle\)/m_times.firstSettle/' \
+    unit_tests "changes in a long series cost few calls, and one after a calm is taken soon"
+mutant always-whole $policy/membership/member_table.cpp \
+    's/std::uint64_t out = reachable\(m_self\)/std::uint64_t out = m_ticks + reachable(m_self)/' \
+    unit_tests "hosts that agree exchange no whole tables"
+mutant same-digest $policy/membership/member_table.cpp \
+    's/            out \^= hashOf\(it.second.member\);/            out ^= 0;/; s/std::uint64_t out = reachable\(m_self\) \? hashOf\(m_self\) : 0;/std::uint64_t out = 0;/' \
+    unit_tests "two halves that lost each other find each other again"
+mutant small-carry $policy/entrypoints/entry_points.cpp \
+    's/    dropSmall\(members\);\n//' \
+    unit_tests "callers are sent to a zone's large hosts while these are calm"
+mutant whole-share $policy/entrypoints/entry_points.cpp \
+    's/constexpr double carrierPart = 0.5;/constexpr double carrierPart = 1;/' \
+    unit_tests "the hosts' parts of an allowance add up to no more than all of it"
+mutant many-at-start $policy/entrypoints/entry_points.cpp \
+    's/    if \(age < frugalTime\)\n        return 1;\n//' \
+    unit_tests "hosts that start together leave room for connections that servers still hold"
+mutant waits-for-reader packages/adapters/logging/log.cpp \
+    's/if \(!hasRoom\(\)\)/if (false)/' \
+    unit_tests "a reader of the log that stops reading does not stop the host"
 
 ninja -C "$build" >/dev/null 2>&1
 echo "$survived mutants survived"
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -431,3 +431,16 @@
     for (std::size_t i = 0; i < 3; ++i)
         CHECK(chosen[i].region == "near");
 }
+
+TEST_CASE("hosts that start together leave room for connections that servers still hold",
+          "[entrypoints]")
+{
+    constexpr int hosts = 9;
+    constexpr int all = 26;
+    const double share = 1.0 / 12;
+    const int before = hosts * policy::entrypoints::connectionShare(all, share, 1h);
+    const int after = hosts * policy::entrypoints::connectionShare(all, share, 1s);
+    CHECK(before <= all);
+    // All but one of the new connections fit beside those of the hosts that lost power.
+    CHECK(before + after <= all + 1);
+}
