--- a/packages/daemon/peers/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -37,10 +37,11 @@
         if (const auto *probe = std::get_if<policy::membership::Probe>(&action)) {
             exchange(probe->name, probe->address, false, now);
         } else if (const auto *contact = std::get_if<policy::membership::Contact>(&action)) {
-            if (contact->wholeTable)
+            if (contact->wholeTable) {
                 exchange("", contact->address, true, now);
-            else
+            } else {
                 compare(contact->address, now);
+            }
         } else {
             probeFor(std::get<policy::membership::IndirectProbe>(action));
         }
