Order the product's documents and records by the era of the store

Cause: the lists' revision is counted on from the stored text. After a restore of the store a new edit gets a revision that hosts have seen already, so that they refuse it for good. A conditional write could match a revision that was given out again, and the record of a key that a caller chose could be lost, so that another host would run the request again. Change: versions carry the era of the store, which orders before the revision, in stored objects, in the lists and in what hosts tell each other. A write whose expected version is of an earlier era is a conflict without a call; one that was answered in a later era has an unknown outcome. Hosts learn of the era from each other. Not covered: the record of a host that died between its run and the restore.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -73,7 +73,9 @@
     to.setFrom(from.from);
     to.setWholeTable(from.wholeTable);
     to.setTableDigest(from.tableDigest);
-    to.setListsRevision(from.listsRevision);
+    to.setListsEra(from.listsVersion.era);
+    to.setListsRevision(from.listsVersion.revision);
+    to.setStoreEra(from.storeEra);
     to.setFleetRevision(from.fleetRevision);
     to.setConfirmationAgeMs(from.confirmationAge.count());
     auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
@@ -92,7 +94,8 @@
     gossip.from = asString(from.getFrom());
     gossip.wholeTable = from.getWholeTable();
     gossip.tableDigest = from.getTableDigest();
-    gossip.listsRevision = from.getListsRevision();
+    gossip.listsVersion = {from.getListsEra(), from.getListsRevision()};
+    gossip.storeEra = from.getStoreEra();
     gossip.fleetRevision = from.getFleetRevision();
     gossip.confirmationAge = core::Millis(std::max<std::int64_t>(0, from.getConfirmationAgeMs()));
     for (const auto it : from.getMembers())
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -34,6 +34,10 @@
   fleetRevision @5 :UInt64;
   confirmationAgeMs @6 :Int64;
   tableDigest @7 :UInt64;
+  # Era of the store in which the lists were written.
+  listsEra @8 :UInt64;
+  # Newest era of the store that the sender knows.
+  storeEra @9 :UInt64;
 }
 
 struct Outcome {
--- a/packages/cli/blocking_store.cpp
+++ b/packages/cli/blocking_store.cpp
@@ -30,12 +30,12 @@
     return *result;
 }
 
-ports::WriteOutcome BlockingStore::write(const std::string &name, std::uint64_t expected,
+ports::WriteOutcome BlockingStore::write(const std::string &name, core::Version expected,
                                          const std::string &text)
 {
     std::optional<ports::WriteOutcome> outcome;
     m_store.write(name, expected, text,
-                  [&](ports::WriteOutcome it, std::uint64_t) { outcome = it; });
+                  [&](ports::WriteOutcome it, core::Version) { outcome = it; });
     while (!outcome)
         runOnce();
     return *outcome;
--- a/packages/cli/blocking_store.h
+++ b/packages/cli/blocking_store.h
@@ -16,12 +16,12 @@
     // `address`: address of the store, "IP:PORT".
     explicit BlockingStore(std::string address);
 
-    // Reads an object. Its version is 0 if it does not exist. Error: 5020 if the platform does not
+    // Reads an object. Its revision is 0 if it does not exist. Error: 5020 if the platform does not
     // respond.
     core::Result<ports::StoredObject> read(const std::string &name);
 
     // Writes an object if its stored version is still `expected`.
-    ports::WriteOutcome write(const std::string &name, std::uint64_t expected,
+    ports::WriteOutcome write(const std::string &name, core::Version expected,
                               const std::string &text);
 
 private:
--- a/packages/cli/config_commands.cpp
+++ b/packages/cli/config_commands.cpp
@@ -50,18 +50,18 @@
     const auto object = store.read(listsObjectName);
     if (!object.has_value())
         return object.error();
-    if (object.value().version == 0)
+    if (!object.value().exists())
         return config::Lists{};
     return config::parseLists(object.value().text);
 }
 
-core::Result<std::uint64_t> applyChange(BlockingStore &store, config::ChangeWriter &writer,
+core::Result<core::Version> applyChange(BlockingStore &store, config::ChangeWriter &writer,
                                         core::TimePoint deadline)
 {
     config::WriterStep next = config::ReadLists{};
     while (true) {
         if (const auto *accepted = std::get_if<config::Accepted>(&next))
-            return accepted->revision;
+            return accepted->version;
         if (const auto *refused = std::get_if<config::NotApplied>(&next))
             return refused->error;
         if (core::Clock::now() >= deadline) {
@@ -82,9 +82,9 @@
     }
 }
 
-// Waits until every host reports the revision or a later one, and prints the number of hosts that
+// Waits until every host reports the version or a later one, and prints the number of hosts that
 // do whenever it changes.
-int waitUntilInForce(const std::string &control, std::uint64_t revision, core::TimePoint deadline)
+int waitUntilInForce(const std::string &control, core::Version version, core::TimePoint deadline)
 {
     HttpClient client;
     std::size_t lastPrinted = SIZE_MAX;
@@ -93,7 +93,9 @@
         const auto inForce = static_cast<std::size_t>(
             std::count_if(reports.begin(), reports.end(), [&](const HostReport &it) {
                 return !it.status.is_null()
-                    && it.status.value("lists_revision", std::uint64_t{0}) >= revision;
+                    && core::Version{it.status.value("lists_era", std::uint64_t{0}),
+                                     it.status.value("lists_revision", std::uint64_t{0})}
+                    >= version;
             }));
         if (inForce != lastPrinted)
             std::cout << "in force on " << inForce << " of " << reports.size() << " hosts\n";
@@ -129,15 +131,16 @@
     BlockingStore store(platform);
     config::ChangeWriter writer(std::move(edit.value()), base, changeId,
                                 parsed["author"].as<std::string>());
-    const auto revision = applyChange(store, writer, deadline);
-    if (!revision.has_value()) {
+    const auto version = applyChange(store, writer, deadline);
+    if (!version.has_value()) {
         std::cerr << "change " << changeId << '\n';
-        return reportError(revision.error());
+        return reportError(version.error());
     }
-    std::cout << "accepted as revision " << revision.value() << " change " << changeId << '\n';
+    std::cout << "accepted as revision " << version.value().revision << " change " << changeId
+              << '\n';
     if (parsed.count("host") == 0)
         return ExitDone;
-    return waitUntilInForce(parsed["host"].as<std::string>(), revision.value(), deadline);
+    return waitUntilInForce(parsed["host"].as<std::string>(), version.value(), deadline);
 }
 
 int printHistory(const config::Lists &lists, bool asJson)
--- /dev/null
+++ b/packages/core/version.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace goldcrestline::core {
+
+// Version of a stored object or document. Revisions are ordered within an era of the store: a store
+// that was restored from an older copy starts a new era and returns revisions to lower values.
+struct Version
+{
+    std::uint64_t era = 0;
+    // 0 stands for an object that does not exist.
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const Version &) const = default;
+};
+
+} // namespace goldcrestline::core
--- a/packages/daemon/control/routes.cpp
+++ b/packages/daemon/control/routes.cpp
@@ -149,7 +149,9 @@
               {"incarnation", host->incarnation},
               {"leaving", host->leaving},
               {"serving", host->serving},
-              {"lists_revision", host->listsRevision},
+              {"lists_revision", host->listsVersion.revision},
+              {"lists_era", host->listsVersion.era},
+              {"store_era", host->storeEra},
               {"fleet_revision", host->fleetRevision},
               {"watching", host->watching},
               {"confirmation_age_ms", host->confirmationAgeMs},
@@ -176,8 +178,9 @@
     };
     gauge("serving", host->serving ? 1 : 0);
     gauge("leaving", host->leaving ? 1 : 0);
-    gauge("lists_revision", static_cast<double>(host->listsRevision));
+    gauge("lists_revision", static_cast<double>(host->listsVersion.revision));
     gauge("fleet_revision", static_cast<double>(host->fleetRevision));
+    gauge("store_era", static_cast<double>(host->storeEra));
     gauge("platform_calls_total", static_cast<double>(host->platformCalls));
     gauge("peer_calls_total", static_cast<double>(host->peerCalls));
     gauge("silent_connections_total", static_cast<double>(host->silentConnections));
--- a/packages/daemon/engine/document_sync.cpp
+++ b/packages/daemon/engine/document_sync.cpp
@@ -77,7 +77,7 @@
     m_lastPlatformResponseAt = now;
     const auto &stored = object.value();
     const bool isLists = watch.kind == DocumentKind::Lists;
-    if (stored.version != 0) {
+    if (stored.exists()) {
         auto &version = isLists ? m_listsVersion : m_fleetVersion;
         version = std::max(version, stored.version);
         applyDocument(watch.kind, stored.text, now);
@@ -86,7 +86,7 @@
     // the watch was sent.
     if (isLists)
         m_host.freshness.onPlatformResponse(sentAt);
-    if (stored.version == 0 && (isLists ? !m_host.lists : !m_host.fleet))
+    if (!stored.exists() && (isLists ? !m_host.lists : !m_host.fleet))
         watch.nextStartAt = now + initialBackoff;
     if (m_watching)
         startWatch(watch, now);
@@ -94,12 +94,14 @@
 
 void DocumentSync::onPeerRevisions(const std::string &address, const ports::Gossip &gossip)
 {
-    m_host.highestListsRevision = std::max(m_host.highestListsRevision, gossip.listsRevision);
-    if (gossip.listsRevision > m_host.listsDocument.revision() && !m_fetchingLists) {
+    if (gossip.storeEra != 0)
+        m_platform.observeEra(gossip.storeEra);
+    m_host.highestListsVersion = std::max(m_host.highestListsVersion, gossip.listsVersion);
+    if (gossip.listsVersion > m_host.listsDocument.version() && !m_fetchingLists) {
         m_fetchingLists = true;
         fetch(address, DocumentKind::Lists);
     }
-    if (gossip.fleetRevision > m_host.fleetDocument.revision() && !m_fetchingFleet) {
+    if (gossip.fleetRevision > m_host.fleetDocument.version().revision && !m_fetchingFleet) {
         m_fetchingFleet = true;
         fetch(address, DocumentKind::Fleet);
     }
@@ -122,7 +124,7 @@
 {
     const auto &document =
         kind == DocumentKind::Lists ? m_host.listsDocument : m_host.fleetDocument;
-    return {kind, document.revision(), document.text()};
+    return {kind, document.version().revision, document.text()};
 }
 
 void DocumentSync::applyDocument(DocumentKind kind, const std::string &text, TimePoint now)
@@ -141,12 +143,13 @@
         log.error("lists refused: " + lists.error().text());
         return;
     }
-    const auto revision = lists.value().revision;
-    m_host.highestListsRevision = std::max(m_host.highestListsRevision, revision);
-    if (!m_host.listsDocument.updateIfNewer(revision, text))
+    const auto version = lists.value().version();
+    m_host.highestListsVersion = std::max(m_host.highestListsVersion, version);
+    if (!m_host.listsDocument.updateIfNewer(version, text))
         return;
     m_host.lists = std::make_shared<const policy::config::Lists>(std::move(lists.value()));
-    log.info("lists in force revision=" + std::to_string(revision));
+    log.info("lists in force revision=" + std::to_string(version.revision)
+             + " era=" + std::to_string(version.era));
 }
 
 void DocumentSync::applyFleet(const std::string &text, TimePoint now)
@@ -157,7 +160,7 @@
         return;
     }
     const auto revision = fleet.value().revision;
-    if (!m_host.fleetDocument.updateIfNewer(revision, text))
+    if (!m_host.fleetDocument.updateIfNewer({0, revision}, text))
         return;
     m_host.fleet = std::make_shared<const policy::routing::Fleet>(std::move(fleet.value()));
     log.info("fleet in force revision=" + std::to_string(revision));
--- a/packages/daemon/engine/document_sync.h
+++ b/packages/daemon/engine/document_sync.h
@@ -31,6 +31,9 @@
     // Returns this host's copy of a document, for a peer that fetches it.
     ports::FetchResponse localCopy(ports::DocumentKind kind) const;
 
+    // Returns the newest known era of the platform's store; 0 if none is known.
+    std::uint64_t storeEra() const { return m_platform.era(); }
+
     // Whether this host is one of the watchers of the platform.
     bool watching() const { return m_watching; }
 
@@ -63,8 +66,8 @@
     Watch m_listsWatch;
     Watch m_fleetWatch;
     // Highest platform versions received; a watch waits for a higher version.
-    std::uint64_t m_listsVersion = 0;
-    std::uint64_t m_fleetVersion = 0;
+    core::Version m_listsVersion;
+    core::Version m_fleetVersion;
     bool m_watching = false;
     bool m_fetchingLists = false;
     bool m_fetchingFleet = false;
--- a/packages/daemon/engine/engine.cpp
+++ b/packages/daemon/engine/engine.cpp
@@ -117,6 +117,7 @@
 
     void run()
     {
+        m_platform.setOnRestored([this] { m_requests.onStoreRestored(core::Clock::now()); });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
             if (!ec)
                 m_shutdown.start(core::Clock::now());
@@ -254,8 +255,9 @@
         status.incarnation = self.incarnation;
         status.leaving = self.leaving;
         status.serving = m_host.lists && m_host.fleet && !m_host.hasStaleLists(now);
-        status.listsRevision = m_host.listsDocument.revision();
-        status.fleetRevision = m_host.fleetDocument.revision();
+        status.listsVersion = m_host.listsDocument.version();
+        status.fleetRevision = m_host.fleetDocument.version().revision;
+        status.storeEra = m_platform.era();
         status.watching = m_documents.watching();
         status.confirmationAgeMs = core::toMillis(m_host.freshness.age(now));
         status.platformCalls = m_platform.calls();
--- a/packages/daemon/engine/host_state.h
+++ b/packages/daemon/engine/host_state.h
@@ -33,8 +33,8 @@
     policy::config::Document fleetDocument;
     std::shared_ptr<const policy::config::Lists> lists;
     std::shared_ptr<const policy::routing::Fleet> fleet;
-    // Highest revision of the lists reported by any host or by the platform.
-    std::uint64_t highestListsRevision = 0;
+    // Highest version of the lists reported by any host or by the platform.
+    core::Version highestListsVersion;
     TimerQueue timers;
     std::mt19937 random{std::random_device{}()};
 
@@ -47,7 +47,7 @@
     // Whether this host's lists may lack a change that has been accepted.
     bool hasStaleLists(core::TimePoint now) const
     {
-        return listsDocument.revision() < highestListsRevision
+        return listsDocument.version() < highestListsVersion
             || !freshness.mayServe(members.knownCount(), now);
     }
 };
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -46,8 +46,9 @@
     gossip.leavingServers = m_queries.leavingNotes();
     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
-    gossip.listsRevision = m_host.listsDocument.revision();
-    gossip.fleetRevision = m_host.fleetDocument.revision();
+    gossip.listsVersion = m_host.listsDocument.version();
+    gossip.fleetRevision = m_host.fleetDocument.version().revision;
+    gossip.storeEra = m_documents.storeEra();
     gossip.confirmationAge = std::chrono::ceil<core::Millis>(m_host.freshness.age(now));
 }
 
--- a/packages/daemon/engine/published_status.h
+++ b/packages/daemon/engine/published_status.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/version.h"
 #include "policy/membership/member.h"
 
 namespace goldcrestline::daemon::engine {
@@ -17,8 +18,10 @@
     std::uint64_t incarnation = 0;
     bool leaving = false;
     bool serving = false;
-    std::uint64_t listsRevision = 0;
+    core::Version listsVersion;
     std::uint64_t fleetRevision = 0;
+    // Newest era of the platform's store that is known; 0 if none.
+    std::uint64_t storeEra = 0;
     bool watching = false;
     double confirmationAgeMs = 0;
     std::uint64_t platformCalls = 0;
--- a/packages/daemon/engine/request_service.cpp
+++ b/packages/daemon/engine/request_service.cpp
@@ -50,7 +50,7 @@
                                QueryService &queries, ports::ServerChannel &channel,
                                ports::PeerLink &peers, ports::PlatformStore &platform)
     : m_host(host), m_admission(admission), m_queries(queries), m_channel(channel), m_peers(peers),
-      m_platform(platform), m_callerKeyLedger{*host.keys, {}, {}}
+      m_platform(platform), m_callerKeyLedger{*host.keys, {}, {}}, m_ownRecords(host, platform)
 {
     const IssuerId own{host.keys->host(), host.keys->incarnation()};
     m_ledgers.emplace(own, LedgerState{*host.keys, {}, {}});
@@ -219,6 +219,10 @@
 
 void RequestService::executeCallerKey(const PendingRequest &request, OutcomeHandler done)
 {
+    if (m_ownRecords.mayMissRecords(core::Clock::now())) {
+        return done({ResultCode::PlatformUnconfirmed,
+                     "the store was restored and may lack the record of an earlier run", ""});
+    }
     const auto expiresAt = core::wallNow() + m_host.settings->callers.keyLifeMs.value;
     // Different customers may choose the same key, so the ledger's key includes the customer.
     PendingRequest scoped = request;
@@ -239,9 +243,9 @@
                          requestDigest(request.customer, request.service, request.body), expiresAt,
                          std::nullopt};
     auto text = serializeRecord(record);
-    m_platform.write(name, 0, text,
+    m_platform.write(name, {}, text,
                      [this, request, name, text, done = std::move(done)](ports::WriteOutcome end,
-                                                                         std::uint64_t version) {
+                                                                         core::Version version) {
                          switch (end) {
                          case ports::WriteOutcome::Written:
                              return evaluateRecord(request, name, {version, text}, done);
@@ -261,7 +265,7 @@
     m_platform.read(name,
                     [this, request, name, writeUnconfirmed,
                      done = std::move(done)](core::Result<ports::StoredObject> object) {
-                        const bool found = object.has_value() && object.value().version != 0;
+                        const bool found = object.has_value() && object.value().exists();
                         if (!found && !writeUnconfirmed && object.has_value()) {
                             return done({ResultCode::PlatformUnconfirmed,
                                          "the request record no longer exists", ""});
@@ -296,6 +300,11 @@
     // After its expiry the ledger may have removed the key, and with it the fact that it ran.
     if (std::max(m_callerKeyLedger.ledger.latestTime(), core::wallNow()) >= record->expiresAt)
         return done({ResultCode::KeyExpired, "", ""});
+    if (m_ownRecords.mayMissRecords(core::Clock::now())) {
+        return done({ResultCode::PlatformUnconfirmed,
+                     "the store was restored and may lack the record of an earlier run", ""});
+    }
+    m_ownRecords.remember(name, object.text, record->expiresAt);
     dispatch(request, {}, [this, name, object, done = std::move(done)](const Outcome &outcome) {
         storeOutcome(name, object, outcome);
         done(outcome);
@@ -311,8 +320,10 @@
         return;
     auto record = parseRecord(object.text);
     record->outcome = outcome;
-    m_platform.write(name, object.version, serializeRecord(*record),
-                     [](ports::WriteOutcome, std::uint64_t) {});
+    auto text = serializeRecord(*record);
+    m_ownRecords.remember(name, text, record->expiresAt);
+    m_platform.write(name, object.version, std::move(text),
+                     [](ports::WriteOutcome, core::Version) {});
 }
 
 bool RequestService::adopt(ports::AdoptRequest request)
@@ -347,6 +358,7 @@
     for (auto &it : m_ledgers)
         it.second.ledger.expire(now);
     m_callerKeyLedger.ledger.expire(now);
+    m_ownRecords.expire(now);
 }
 
 std::size_t RequestService::keys() const
--- a/packages/daemon/engine/request_service.h
+++ b/packages/daemon/engine/request_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/engine/admission_controller.h"
+#include "daemon/engine/own_records.h"
 #include "daemon/engine/query_service.h"
 #include "policy/idempotency/ledger.h"
 #include "ports/peer_link.h"
@@ -41,6 +42,9 @@
     // Returns one request per ledger of issued keys, for the successor. Seals the ledgers.
     std::vector<ports::AdoptRequest> handover();
 
+    // Records that the platform's store was restored from an older copy.
+    void onStoreRestored(core::TimePoint now) { m_ownRecords.onStoreRestored(now); }
+
     // Removes expired keys from the ledgers. Call every few seconds.
     void expire(core::WallMillis now);
 
@@ -106,6 +110,7 @@
     std::map<IssuerId, LedgerState> m_ledgers;
     // Decides on keys chosen by callers.
     LedgerState m_callerKeyLedger;
+    OwnRecords m_ownRecords;
     std::size_t m_running = 0;
 };
 
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -110,18 +110,22 @@
 
 void PlatformCopy::fillGossip(ports::Gossip &gossip) const
 {
-    gossip.listsRevision = version();
+    gossip.listsVersion.revision = version();
+    gossip.storeEra = m_era.newest();
     gossip.fleetRevision = m_servers.mirror().revision();
 }
 
 void PlatformCopy::onGossip(const ports::Gossip &gossip, const std::string &address, TimePoint now)
 {
-    if (gossip.listsRevision <= version())
+    if (gossip.storeEra != 0)
+        observeEra(gossip.storeEra, now);
+    const auto reported = gossip.listsVersion.revision;
+    if (reported <= version())
         return;
     if (m_staleSince == TimePoint{})
         m_staleSince = now;
-    if (gossip.listsRevision > m_highestVersion || m_highestVersionHost.empty()) {
-        m_highestVersion = gossip.listsRevision;
+    if (reported > m_highestVersion || m_highestVersionHost.empty()) {
+        m_highestVersion = reported;
         m_highestVersionHost = address;
     }
 }
--- a/packages/policy/config/change_writer.cpp
+++ b/packages/policy/config/change_writer.cpp
@@ -13,11 +13,11 @@
       m_author(std::move(author))
 { }
 
-WriterStep ChangeWriter::onRead(std::uint64_t version, const std::string &text,
+WriterStep ChangeWriter::onRead(core::Version version, const std::string &text,
                                 core::WallMillis now)
 {
     Lists current;
-    if (version != 0) {
+    if (version.revision != 0) {
         auto parsed = parseLists(text);
         if (!parsed.has_value())
             return NotApplied{parsed.error()};
@@ -26,7 +26,7 @@
     const auto own = std::find_if(current.history.begin(), current.history.end(),
                                   [&](const Change &it) { return it.changeId == m_changeId; });
     if (own != current.history.end())
-        return Accepted{own->revision};
+        return Accepted{{current.era, own->revision}};
     // The change is not in the history, so an earlier write without a response did not take effect.
     // It cannot do so later either, since it expected an older version of the object.
     if (m_base && *m_base != current.revision) {
@@ -36,8 +36,8 @@
                                     + " by " + author + ", the change is based on revision "
                                     + std::to_string(*m_base)}};
     }
-    const auto next = nextRevision(current, m_edit, m_changeId, m_author, now);
-    m_nextRevision = next.revision;
+    const auto next = nextRevision(current, m_edit, m_changeId, m_author, version.era, now);
+    m_nextVersion = next.version();
     return WriteLists{version, serializeLists(next)};
 }
 
@@ -45,7 +45,7 @@
 {
     switch (result) {
     case WriteResult::Written:
-        return Accepted{m_nextRevision};
+        return Accepted{m_nextVersion};
     case WriteResult::Unknown:
         m_inDoubt = true;
         return ReadLists{};
--- a/packages/policy/config/change_writer.h
+++ b/packages/policy/config/change_writer.h
@@ -19,13 +19,13 @@
 // Next step: write the text if the object's version is `expected`, then call onWritten().
 struct WriteLists
 {
-    std::uint64_t expected = 0;
+    core::Version expected;
     std::string text;
 };
-// Final: the change took effect as `revision`.
+// Final: the change took effect as `version` of the lists.
 struct Accepted
 {
-    std::uint64_t revision = 0;
+    core::Version version;
 };
 // Final: the change certainly did not take effect.
 struct NotApplied
@@ -48,8 +48,8 @@
     ChangeWriter(Lists edit, std::optional<std::uint64_t> base, std::string changeId,
                  std::string author);
 
-    // Records the object as read: its version (0 if it does not exist) and text.
-    WriterStep onRead(std::uint64_t version, const std::string &text, core::WallMillis now);
+    // Records the object as read: its version (revision 0 if it does not exist) and text.
+    WriterStep onRead(core::Version version, const std::string &text, core::WallMillis now);
 
     // Records the result of a write.
     WriterStep onWritten(WriteResult result);
@@ -62,7 +62,7 @@
     std::optional<std::uint64_t> m_base;
     std::string m_changeId;
     std::string m_author;
-    std::uint64_t m_nextRevision = 0;
+    core::Version m_nextVersion;
     bool m_inDoubt = false;
 };
 
--- a/packages/policy/config/document.h
+++ b/packages/policy/config/document.h
@@ -1,30 +1,31 @@
 #pragma once
 
-#include <cstdint>
+#include "core/version.h"
+
 #include <string>
 
 namespace goldcrestline::policy::config {
 
-// A host's copy of a replicated document. Its revision never decreases. Not thread-safe.
+// A host's copy of a replicated document. Its version never decreases. Not thread-safe.
 class Document
 {
 public:
-    // Stores `text` if `revision` is higher than the stored one; returns whether it was stored.
-    bool updateIfNewer(std::uint64_t revision, std::string text)
+    // Stores `text` if `version` is higher than the stored one; returns whether it was stored.
+    bool updateIfNewer(core::Version version, std::string text)
     {
-        if (revision <= m_revision)
+        if (version <= m_version)
             return false;
-        m_revision = revision;
+        m_version = version;
         m_text = std::move(text);
         return true;
     }
 
-    std::uint64_t revision() const { return m_revision; }
+    core::Version version() const { return m_version; }
     const std::string &text() const { return m_text; }
-    bool empty() const { return m_revision == 0; }
+    bool empty() const { return m_version.revision == 0; }
 
 private:
-    std::uint64_t m_revision = 0;
+    core::Version m_version;
     std::string m_text;
 };
 
--- a/packages/policy/config/lists.cpp
+++ b/packages/policy/config/lists.cpp
@@ -221,6 +221,7 @@
         return Error{ResultCode::ListsSyntax, "the text is not valid JSON"};
     Lists lists;
     FieldReader reader(object, "");
+    reader.allowField("era");
     reader.allowField("revision");
     reader.allowField("history");
     const auto &plans = reader.object("plans");
@@ -234,10 +235,11 @@
     if (auto error = readCustomers(customers, lists))
         return *error;
     try {
+        lists.era = object.value("era", std::uint64_t{0});
         lists.revision = object.value("revision", std::uint64_t{0});
         lists.history = readHistory(object);
     } catch (const json::exception &) {
-        return Error{ResultCode::ListsWrongType, "revision or history has the wrong type"};
+        return Error{ResultCode::ListsWrongType, "era, revision or history has the wrong type"};
     }
     return lists;
 }
@@ -245,6 +247,7 @@
 std::string serializeLists(const Lists &lists)
 {
     json object = editableFields(lists);
+    object["era"] = lists.era;
     object["revision"] = lists.revision;
     object["history"] = json::array();
     for (const auto &it : lists.history) {
@@ -262,8 +265,9 @@
 }
 
 Lists nextRevision(const Lists &current, Lists edit, std::string changeId, std::string author,
-                   core::WallMillis now)
+                   std::uint64_t era, core::WallMillis now)
 {
+    edit.era = std::max(current.era, era);
     edit.revision = current.revision + 1;
     edit.history = current.history;
     edit.history.push_back({std::move(changeId), std::move(author), edit.revision, now});
--- a/packages/policy/config/lists.h
+++ b/packages/policy/config/lists.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/name_table.h"
 #include "core/result.h"
+#include "core/version.h"
 
 #include <cstdint>
 #include <map>
@@ -66,9 +67,12 @@
     core::WallMillis acceptedAt = 0;
 };
 
-// Both lists under a common revision number.
+// Both lists under a common version.
 struct Lists
 {
+    // Era of the store in which the lists were written. Orders lists before the revision, which
+    // goes back when the store is restored from an older copy.
+    std::uint64_t era = 0;
     std::uint64_t revision = 0;
     std::map<std::string, std::string> planByCustomer;
     std::map<std::string, Plan> plans;
@@ -77,6 +81,8 @@
     // Returns the plan of `customer`, or null. Thread-safe on a constant object.
     const Plan *planFor(const std::string &customer) const;
 
+    core::Version version() const { return {era, revision}; }
+
     // Returns whether the history contains the change with `changeId`. Thread-safe on a constant
     // object.
     bool containsChange(std::string_view changeId) const;
@@ -91,9 +97,9 @@
 // Serializes only the fields that operators edit, as indented JSON. Thread-safe.
 std::string serializeEditableFields(const Lists &lists);
 
-// Returns the lists of `edit` as the successor of `current`: with the next revision number, and the
-// change appended to the history. Thread-safe.
+// Returns the lists of `edit` as the successor of `current` in the store's `era`: with the next
+// revision number, and the change appended to the history. Thread-safe.
 Lists nextRevision(const Lists &current, Lists edit, std::string changeId, std::string author,
-                   core::WallMillis now);
+                   std::uint64_t era, core::WallMillis now);
 
 } // namespace goldcrestline::policy::config
--- a/packages/policy/forward/departed_servers.h
+++ b/packages/policy/forward/departed_servers.h
@@ -7,9 +7,10 @@
 
 namespace goldcrestline::policy::forward {
 
-// Keeps servers whose entries were removed out of use when a restored store brings the entries back.
-// The store removes the entry of a server that has left or died again after its entry lifetime, so
-// an entry that is still listed after that time belongs to a live server. Not thread-safe.
+// Keeps servers whose entries were removed out of use when a restored store brings the entries
+// back. The store removes the entry of a server that has left or died again after its entry
+// lifetime, so an entry that is still listed after that time belongs to a live server. Not
+// thread-safe.
 class DepartedServers
 {
 public:
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/version.h"
 #include "policy/idempotency/ledger.h"
 #include "policy/membership/member.h"
 #include "policy/routing/server_table.h"
@@ -24,8 +25,10 @@
     // Digest of the sender's members that are alive or suspect.
     std::uint64_t tableDigest = 0;
     std::vector<policy::routing::LeavingNote> leavingServers;
-    std::uint64_t listsRevision = 0;
+    core::Version listsVersion;
     std::uint64_t fleetRevision = 0;
+    // Newest era of the platform's store that the sender knows; 0 if none.
+    std::uint64_t storeEra = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
--- a/packages/ports/platform_store.h
+++ b/packages/ports/platform_store.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/result.h"
+#include "core/version.h"
 
 #include <cstdint>
 #include <functional>
@@ -11,17 +12,19 @@
 // Port to the platform's object API.
 namespace goldcrestline::ports {
 
-// An object with its version; version 0 stands for an object that does not exist.
+// An object with its version; revision 0 stands for an object that does not exist.
 struct StoredObject
 {
-    std::uint64_t version = 0;
+    core::Version version;
     std::string text;
+
+    bool exists() const { return version.revision != 0; }
 };
 
 // Outcome of a conditional write.
 enum class WriteOutcome {
     Written,
-    // The object's version differs from the expected one.
+    // The object's version differs from the expected one, or is of an earlier era of the store.
     Conflict,
     // No response was received: the write may have taken effect.
     Unknown,
@@ -30,7 +33,8 @@
 };
 
 using ReadHandler = std::function<void(core::Result<StoredObject>)>;
-using WriteHandler = std::function<void(WriteOutcome, std::uint64_t version)>;
+// `version`: the object's version after the write, if it was written.
+using WriteHandler = std::function<void(WriteOutcome, core::Version version)>;
 
 // Reads and writes objects of the platform. Methods are called on the owner's event loop; handlers
 // run there.
@@ -43,12 +47,18 @@
     virtual void read(const std::string &name, ReadHandler done) = 0;
 
     // Reads the object as soon as its version exceeds `version`, at the latest after `wait`.
-    virtual void watch(const std::string &name, std::uint64_t version, core::Millis wait,
+    virtual void watch(const std::string &name, core::Version version, core::Millis wait,
                        ReadHandler done) = 0;
 
-    // Writes the object if its version is `expected`; 0: creates it if it does not exist.
-    virtual void write(const std::string &name, std::uint64_t expected, std::string text,
+    // Writes the object if its version is `expected`; revision 0: creates it if it does not exist.
+    virtual void write(const std::string &name, core::Version expected, std::string text,
                        WriteHandler done) = 0;
+
+    // Returns the newest known era of the store, which rises when the store was restored from an
+    // older copy; 0 if none is known.
+    virtual std::uint64_t era() const = 0;
+    // Records an era that another host reported.
+    virtual void observeEra(std::uint64_t era) = 0;
 };
 
 } // namespace goldcrestline::ports
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -205,6 +205,13 @@
     's/std::get<Finish>\(out.back\(\)\).expectedWait = expectedWait;/(void)expectedWait;/' \
     unit_tests "a refused call reports when it could be served"
 
+mutant lists-without-era $policy/config/lists.cpp \
+    's/edit.era = std::max\(current.era, era\);/edit.era = current.era;/' \
+    process_tests "lists written after a restore of the store come into force at a lower revision"
+mutant records-not-rewritten packages/daemon/engine/own_records.cpp \
+    's/    m_completeAt = now \+ reconciliationTime;\n/    return;\n/' \
+    process_tests "a claim whose record was lost by a restore of the store does not run again"
+
 ninja -C "$build" >/dev/null 2>&1
 echo "$survived mutants survived"
 [ "$survived" -eq 0 ]
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -40,7 +40,7 @@
 
     WriteResult write(const WriteLists &request, bool loseResponse)
     {
-        const bool matches = request.expected == version;
+        const bool matches = request.expected.revision == version;
         if (matches) {
             ++version;
             text = request.text;
@@ -77,7 +77,7 @@
 TEST_CASE("lists are unchanged by serialization and parsing", "[config]")
 {
     const auto lists = parseLists(valid).value();
-    const auto next = nextRevision(lists, lists, "c1", "anna", 5);
+    const auto next = nextRevision(lists, lists, "c1", "anna", 0, 5);
     const auto again = parseLists(serializeLists(next)).value();
     CHECK(again.revision == 1);
     CHECK(again.containsChange("c1"));
@@ -103,11 +103,11 @@
                  Document document;
                  std::uint64_t highest = 0;
                  for (const auto it : revisions) {
-                     const auto before = document.revision();
-                     document.updateIfNewer(it, std::to_string(it));
+                     const auto before = document.version().revision;
+                     document.updateIfNewer({0, it}, std::to_string(it));
                      highest = std::max<std::uint64_t>(highest, it);
-                     RC_ASSERT(document.revision() >= before);
-                     RC_ASSERT(document.revision() == highest);
+                     RC_ASSERT(document.version().revision >= before);
+                     RC_ASSERT(document.version().revision == highest);
                      RC_ASSERT(highest == 0 || document.text() == std::to_string(highest));
                  }
              });
@@ -133,12 +133,12 @@
         for (int step = 0; step < 400; ++step) {
             auto &it = operators[random() % operators.size()];
             if (std::holds_alternative<ReadLists>(it.next)) {
-                it.next = it.writer.onRead(platform.version, platform.text, 1);
+                it.next = it.writer.onRead({0, platform.version}, platform.text, 1);
             } else if (const auto *request = std::get_if<WriteLists>(&it.next)) {
                 const auto copy = *request;
                 it.next = it.writer.onWritten(platform.write(copy, random() % 2 == 0));
             } else if (const auto *done = std::get_if<Accepted>(&it.next)) {
-                accepted[it.changeId] = done->revision;
+                accepted[it.changeId] = done->version.revision;
             } else {
                 refused.insert(it.changeId);
             }
@@ -190,3 +190,22 @@
     CHECK_FALSE(minority.mayServe(9, start + 1s));
     CHECK_FALSE(majority.mayServe(9, start + 5s));
 }
+
+TEST_CASE("lists of a later era of the store are newer, whatever their revision", "[config]")
+{
+    ChangeWriter writer(listsWithRate(1), std::nullopt, "c1", "op");
+    // The restored store holds revision 3 of the lists, while revision 7 was in force before.
+    auto restored = listsWithRate(2);
+    restored.era = 1;
+    restored.revision = 3;
+    const auto step = writer.onRead({2, 40}, serializeLists(restored), 1);
+    const auto *request = std::get_if<WriteLists>(&step);
+    REQUIRE(request != nullptr);
+    CHECK(request->expected == core::Version{2, 40});
+    const auto written = parseLists(request->text).value();
+    CHECK(written.version() == core::Version{2, 4});
+    Document document;
+    CHECK(document.updateIfNewer({1, 7}, "in force"));
+    CHECK_FALSE(document.updateIfNewer(restored.version(), "restored"));
+    CHECK(document.updateIfNewer(written.version(), "new"));
+}
