Probe within large zones and exchange only differences of member tables

Cause: at a joint start each of 195 hosts learnt all others by whole tables and then spread each of these records on, 24 times at 12 a message, so that every message carried 2 KB for a minute; probes went to all zones alike. Change: records learnt by a comparison of tables are not spread on; a comparison sends a hash of each record and only the records that one side lacks, and records that contradict what was received; in a zone with six or more other hosts three of four probes stay in the zone, and messages to other zones carry at most three records of hosts that are alive, while failures are spread as before. A host that stops tells its zone and three hosts of each other one at once. Counters and a log line every 10 s show the bytes by purpose.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -200,6 +200,7 @@
 
     void onRead(const ConnectionPtr &connection, std::size_t n)
     {
+        bytesReceived += n;
         if (connection->state != Connection::State::Busy) {
             // Bytes without a request in progress.
             return close(connection);
@@ -374,6 +375,7 @@
     std::unordered_map<ExchangeId, ConnectionPtr> byId;
     ExchangeId lastId = 0;
     std::uint64_t connectionsOpened = 0;
+    std::uint64_t bytesReceived = 0;
     // Bytes of the unfinished bodies of all exchanges.
     std::uint64_t bufferedBytes = 0;
 };
@@ -450,6 +452,11 @@
     m_impl->options.idleTimeout = time;
 }
 
+std::uint64_t ExchangeClient::bytesReceived() const
+{
+    return m_impl->bytesReceived;
+}
+
 std::uint64_t ExchangeClient::connectionsOpened() const
 {
     return m_impl->connectionsOpened;
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -56,6 +56,9 @@
     // Sets the idle timeout of connections that become idle from now on.
     void setIdleTimeout(core::Millis time);
 
+    // Returns the number of bytes received since the start.
+    std::uint64_t bytesReceived() const;
+
     // Returns the number of connections opened since the start, failed attempts included.
     std::uint64_t connectionsOpened() const;
 
--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -68,10 +68,18 @@
     return member;
 }
 
+void writeHashes(const std::vector<std::uint64_t> &from, capnp::List<std::uint64_t>::Builder to)
+{
+    for (unsigned i = 0; i < to.size(); ++i)
+        to.set(i, from[i]);
+}
+
 void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to)
 {
     to.setFrom(from.from);
-    to.setWholeTable(from.wholeTable);
+    to.setComparison(from.comparison);
+    writeHashes(from.summary, to.initSummary(static_cast<unsigned>(from.summary.size())));
+    writeHashes(from.wanted, to.initWanted(static_cast<unsigned>(from.wanted.size())));
     to.setTableDigest(from.tableDigest);
     to.setListsEra(from.listsVersion.era);
     to.setListsRevision(from.listsVersion.revision);
@@ -92,7 +100,11 @@
 {
     ports::Gossip gossip;
     gossip.from = asString(from.getFrom());
-    gossip.wholeTable = from.getWholeTable();
+    gossip.comparison = from.getComparison();
+    for (const auto it : from.getSummary())
+        gossip.summary.push_back(it);
+    for (const auto it : from.getWanted())
+        gossip.wanted.push_back(it);
     gossip.tableDigest = from.getTableDigest();
     gossip.listsVersion = {from.getListsEra(), from.getListsRevision()};
     gossip.storeEra = from.getStoreEra();
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -24,8 +24,6 @@
 
 // Largest datagram that can be received.
 constexpr std::size_t maxDatagramBytes = 60UL * 1024;
-// Largest full member table that is sent as a datagram. A member takes about 150 bytes.
-constexpr std::size_t maxDatagramMembers = 100;
 // Largest message over HTTP. Sufficient for an idempotency ledger of some hundred thousand keys.
 constexpr std::uint64_t maxMessageBytes = 64 << 20;
 constexpr int statusBadRequest = 400;
@@ -33,7 +31,7 @@
 bool isSentAsDatagram(const ports::PeerRequest &request)
 {
     if (const auto *gossip = std::get_if<ports::Gossip>(&request))
-        return !gossip->wholeTable || gossip->members.size() <= maxDatagramMembers;
+        return !gossip->comparison;
     return std::holds_alternative<ports::ProbeRequest>(request);
 }
 
@@ -115,11 +113,29 @@
         ports::PeerCall call;
         call.request = std::move(std::get<ports::PeerRequest>(message->content));
         call.reply = [this, id = message->id, from](const ports::PeerResponse &answer) {
-            send(encode(id, answer), from);
+            const auto bytes = encode(id, answer);
+            count(answer, bytes.size());
+            send(bytes, from);
         };
         onCall(std::move(call));
     }
 
+    // Counts a message, a PeerRequest or a PeerResponse, by its purpose.
+    template <typename Message>
+    void count(const Message &message, std::size_t bytes)
+    {
+        // A request and its response have the same index in both variants.
+        constexpr std::size_t probeIndex = 1;
+        constexpr std::size_t fetchIndex = 2;
+        if (const auto *gossip = std::get_if<ports::Gossip>(&message)) {
+            (gossip->comparison ? traffic.comparisons : traffic.gossip) += bytes;
+        } else if (message.index() == probeIndex) {
+            traffic.gossip += bytes;
+        } else {
+            (message.index() == fetchIndex ? traffic.documents : traffic.other) += bytes;
+        }
+    }
+
     void send(const std::string &bytes, const udp::endpoint &to)
     {
         error_code ec;
@@ -145,9 +161,11 @@
         }
         ports::PeerCall peerCall;
         peerCall.request = std::move(std::get<ports::PeerRequest>(message->content));
-        peerCall.reply = [respond = std::move(call.respond),
+        peerCall.reply = [this, respond = std::move(call.respond),
                           id = message->id](const ports::PeerResponse &answer) {
-            respond({200, {}, encode(id, answer)});
+            auto bytes = encode(id, answer);
+            count(answer, bytes.size());
+            respond({200, {}, std::move(bytes)});
         };
         onCall(std::move(peerCall));
     }
@@ -159,6 +177,7 @@
         const auto now = core::Clock::now();
         ports::ExchangeRequest out;
         out.body = std::make_shared<const std::string>(encode(id, request));
+        count(request, out.body->size());
         out.commonHead = std::make_shared<const std::string>(
             "POST /peer HTTP/1.1\r\nHost: peer\r\nContent-Length: "
             + std::to_string(out.body->size()) + "\r\n");
@@ -187,6 +206,7 @@
     loop::HttpServer server;
     std::map<std::uint64_t, Pending> pending;
     std::uint64_t lastId = 0;
+    ports::PeerTraffic traffic;
 };
 
 LoopPeerLink::LoopPeerLink(asio::io_context &io, const std::string &address,
@@ -205,8 +225,11 @@
     if (!isSentAsDatagram(request))
         return m_impl->sendOverHttp(address, id, request, timeout, std::move(done));
     m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done)};
-    if (const auto to = loop::parseEndpoint<udp>(address))
-        m_impl->send(encode(id, request), *to);
+    if (const auto to = loop::parseEndpoint<udp>(address)) {
+        const auto bytes = encode(id, request);
+        m_impl->count(request, bytes.size());
+        m_impl->send(bytes, *to);
+    }
 }
 
 void LoopPeerLink::tick(TimePoint now)
@@ -226,6 +249,11 @@
         it({PeerOutcome::NoResponse, {}});
 }
 
+const ports::PeerTraffic &LoopPeerLink::traffic() const
+{
+    return m_impl->traffic;
+}
+
 std::uint64_t LoopPeerLink::calls() const
 {
     return m_impl->lastId;
--- a/packages/adapters/peers/loop_peer_link.h
+++ b/packages/adapters/peers/loop_peer_link.h
@@ -30,6 +30,9 @@
     // Ends calls whose timeout has passed. Call about every 20 ms.
     void tick(core::TimePoint now);
 
+    // Returns the bytes sent since the start, without those of the transport protocols.
+    const ports::PeerTraffic &traffic() const;
+
     // Returns the number of calls made since the start.
     std::uint64_t calls() const;
 
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -28,7 +28,7 @@
 struct Gossip {
   from @0 :Text;
   members @1 :List(Member);
-  wholeTable @2 :Bool;
+  comparison @2 :Bool;
   leavingServers @3 :List(LeavingNote);
   listsRevision @4 :UInt64;
   fleetRevision @5 :UInt64;
@@ -38,6 +38,9 @@
   listsEra @8 :UInt64;
   # Newest era of the store that the sender knows.
   storeEra @9 :UInt64;
+  # Comparison of member tables: hashes of the sender's records, and of those that it asks for.
+  summary @10 :List(UInt64);
+  wanted @11 :List(UInt64);
 }
 
 struct Outcome {
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -48,6 +48,7 @@
 constexpr core::Millis exitMargin{700};
 // Interval between checks of the settings file's modification time, for changes without SIGHUP.
 constexpr core::Millis settingsCheckPeriod{2000};
+constexpr core::Millis trafficLogPeriod{10000};
 constexpr std::string_view metricsPath = "/v1/metrics";
 // Interval between estimates of the processor utilization.
 constexpr core::Millis processorCheckPeriod{1000};
@@ -284,6 +285,9 @@
         gauges.storeRestores = m_copy.storeEra().rises();
         gauges.storeReached = m_copy.storeReached();
         gauges.connectionsOpened = m_backendClient.connectionsOpened();
+        gauges.peerBytes = m_link.traffic();
+        gauges.storeBytes = m_storeClient.bytesReceived();
+        gauges.serverBytes = m_backendClient.bytesReceived();
         gauges.logLinesLeftOut = adapters::logging::droppedLines();
         gauges.processorUsePercent =
             static_cast<std::uint64_t>(percentPerUnit * m_processorLoad.utilization());
@@ -371,6 +375,17 @@
         m_exitAt = now + std::chrono::duration_cast<core::Duration>(grace) - exitMargin;
     }
 
+    void logTraffic()
+    {
+        const auto &peers = m_link.traffic();
+        log.info("traffic gossip=" + std::to_string(peers.gossip)
+                 + " comparisons=" + std::to_string(peers.comparisons)
+                 + " documents=" + std::to_string(peers.documents)
+                 + " store=" + std::to_string(m_storeClient.bytesReceived())
+                 + " servers=" + std::to_string(m_backendClient.bytesReceived())
+                 + " store_calls=" + std::to_string(m_copy.storeCalls()));
+    }
+
     void checkShutdown(TimePoint now)
     {
         if (!m_stopping || now < m_drainUntil)
@@ -417,6 +432,10 @@
             m_processorCheckAt = now + processorCheckPeriod;
             checkProcessorLoad(now);
         }
+        if (now >= m_trafficLogAt) {
+            m_trafficLogAt = now + trafficLogPeriod;
+            logTraffic();
+        }
         if (now >= m_settingsCheckAt) {
             m_settingsCheckAt = now + settingsCheckPeriod;
             checkSettings();
@@ -464,6 +483,7 @@
     TimePoint m_memberTickAt{};
     TimePoint m_processorCheckAt{};
     TimePoint m_settingsCheckAt{};
+    TimePoint m_trafficLogAt{};
     std::filesystem::file_time_type m_settingsTime{};
     bool m_stopping = false;
     bool m_acceptStopped = false;
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -21,6 +21,12 @@
     appendLine(out, "store_reached", gauges.storeReached ? 1 : 0);
     appendLine(out, "connections_opened_total", gauges.connectionsOpened);
     appendLine(out, "log_lines_left_out_total", gauges.logLinesLeftOut);
+    appendLine(out, "peer_bytes_total{purpose=\"gossip\"}", gauges.peerBytes.gossip);
+    appendLine(out, "peer_bytes_total{purpose=\"comparisons\"}", gauges.peerBytes.comparisons);
+    appendLine(out, "peer_bytes_total{purpose=\"documents\"}", gauges.peerBytes.documents);
+    appendLine(out, "peer_bytes_total{purpose=\"other\"}", gauges.peerBytes.other);
+    appendLine(out, "store_bytes_total", gauges.storeBytes);
+    appendLine(out, "server_bytes_total", gauges.serverBytes);
     appendLine(out, "processor_use_percent", gauges.processorUsePercent);
     appendLine(out, "stopping", gauges.stopping ? 1 : 0);
     appendLine(out, "requests_total", counters.requests);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/forward/forward_counters.h"
+#include "ports/peer_link.h"
 
 #include <cstdint>
 #include <string>
@@ -22,6 +23,10 @@
     std::uint64_t storeRestores = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t logLinesLeftOut = 0;
+    // Bytes sent to other hosts, and received from the store and from the servers.
+    ports::PeerTraffic peerBytes;
+    std::uint64_t storeBytes = 0;
+    std::uint64_t serverBytes = 0;
     // Estimated processor utilization; may exceed 100.
     std::uint64_t processorUsePercent = 0;
     bool stopping = false;
--- a/packages/daemon/peers/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -11,6 +11,14 @@
 
 constexpr adapters::logging::LogChannel log("members:");
 
+// Records in one response of a table comparison. The next comparison finds the others.
+constexpr std::size_t maxComparedMembers = 1000;
+constexpr core::Millis comparisonTimeout{1000};
+// Up to this number of live hosts, and above it within the own zone, a host tells all others at
+// once of a change of its state; above it, it tells a few hosts of each other zone.
+constexpr std::size_t maxToldAtOnce = 16;
+constexpr int toldInOtherZones = 3;
+
 } // namespace
 
 Membership::Membership(policy::membership::MemberTable &table, core::Millis period,
@@ -25,9 +33,15 @@
 
 void Membership::exchangeWithAll(TimePoint now)
 {
-    for (const auto &it : m_table.live()) {
-        if (it.name != m_table.self().name)
-            exchange("", it.peersAddress, false, now);
+    const auto live = m_table.live();
+    std::map<std::string, int> told;
+    for (const auto &it : live) {
+        if (it.name == m_table.self().name)
+            continue;
+        const bool remote = it.zone != m_table.self().zone;
+        if (live.size() > maxToldAtOnce && remote && ++told[it.zone] > toldInOtherZones)
+            continue;
+        exchange("", it.peersAddress, now);
     }
 }
 
@@ -36,10 +50,10 @@
 {
     for (const auto &action : actions) {
         if (const auto *probe = std::get_if<policy::membership::Probe>(&action)) {
-            exchange(probe->name, probe->address, false, now);
+            exchange(probe->name, probe->address, now);
         } else if (const auto *contact = std::get_if<policy::membership::TableSync>(&action)) {
-            if (contact->wholeTable) {
-                exchange("", contact->address, true, now);
+            if (contact->skipDigest) {
+                compareTables(contact->address, now);
             } else {
                 compareDigests(contact->address, now);
             }
@@ -49,21 +63,42 @@
     }
 }
 
-ports::Gossip Membership::makeGossip(bool wholeTable, TimePoint now)
+ports::Gossip Membership::makeGossip(const std::string &receiverZone, TimePoint now)
 {
     ports::Gossip gossip;
     gossip.from = m_table.self().name;
-    gossip.members = m_table.selectUpdates(wholeTable);
-    gossip.wholeTable = wholeTable;
+    gossip.members = m_table.selectUpdates(receiverZone);
     gossip.tableDigest = m_table.digest();
     m_hooks.fillGossip(gossip, now);
     return gossip;
 }
 
-void Membership::exchange(const std::string &name, const std::string &address, bool wholeTable,
-                          TimePoint now)
+ports::Gossip Membership::makeComparison(std::vector<policy::membership::Member> members,
+                                         TimePoint now)
 {
-    m_link.call(address, makeGossip(wholeTable, now), m_period,
+    ports::Gossip gossip;
+    gossip.from = m_table.self().name;
+    gossip.members = std::move(members);
+    gossip.comparison = true;
+    gossip.tableDigest = m_table.digest();
+    m_hooks.fillGossip(gossip, now);
+    return gossip;
+}
+
+std::string Membership::zoneOf(const std::string &address) const
+{
+    for (const auto &it : m_table.live()) {
+        if (it.peersAddress == address)
+            return it.zone;
+    }
+    return {};
+}
+
+void Membership::exchange(const std::string &name, const std::string &address, TimePoint now)
+{
+    const auto *member = m_table.find(name);
+    const auto zone = member != nullptr ? member->zone : zoneOf(address);
+    m_link.call(address, makeGossip(zone, now), m_period,
                 [this, name, requestedAt = now](const ports::PeerResult &result) {
                     const auto repliedAt = core::Clock::now();
                     if (result.outcome != PeerOutcome::Answered) {
@@ -82,7 +117,7 @@
 
 void Membership::compareDigests(const std::string &address, TimePoint now)
 {
-    m_link.call(address, makeGossip(false, now), m_period,
+    m_link.call(address, makeGossip(zoneOf(address), now), m_period,
                 [this, address, requestedAt = now](const ports::PeerResult &result) {
                     if (result.outcome != PeerOutcome::Answered)
                         return;
@@ -92,16 +127,39 @@
                     const auto repliedAt = core::Clock::now();
                     onGossip(reply, requestedAt, repliedAt);
                     // The digests also differ if other updates were applied between request and
-                    // reply; the whole tables are exchanged then, too.
+                    // reply; the tables are compared then, too.
                     if (reply.tableDigest != m_table.digest())
-                        exchange("", address, true, repliedAt);
+                        compareTables(address, repliedAt);
+                });
+}
+
+void Membership::compareTables(const std::string &address, TimePoint now)
+{
+    auto request = makeComparison({m_table.self()}, now);
+    request.summary = m_table.summary();
+    m_link.call(address, std::move(request), comparisonTimeout,
+                [this, address, requestedAt = now](const ports::PeerResult &result) {
+                    if (result.outcome != PeerOutcome::Answered)
+                        return;
+                    const auto &reply = std::get<ports::Gossip>(result.response);
+                    if (reply.from == m_table.self().name)
+                        return;
+                    const auto repliedAt = core::Clock::now();
+                    onGossip(reply, requestedAt, repliedAt);
+                    auto lacking = m_table.findByHash(reply.wanted);
+                    const auto superseding = m_table.findSuperseding(reply.members);
+                    lacking.insert(lacking.end(), superseding.begin(), superseding.end());
+                    if (lacking.empty())
+                        return;
+                    m_link.call(address, makeComparison(std::move(lacking), repliedAt),
+                                comparisonTimeout, [](const ports::PeerResult &) {});
                 });
 }
 
 void Membership::onGossip(const ports::Gossip &gossip, std::optional<TimePoint> requestedAt,
                           TimePoint now)
 {
-    const int changed = m_table.applyUpdates(gossip.members, now);
+    const int changed = m_table.applyUpdates(gossip.members, now, gossip.comparison);
     if (changed > 0) {
         log.info("changed count=" + std::to_string(changed) + " from=" + gossip.from
                  + " live=" + std::to_string(m_table.live().size()));
@@ -120,16 +178,30 @@
                 });
 }
 
+ports::Gossip Membership::replyTo(const ports::Gossip &gossip, TimePoint now)
+{
+    if (!gossip.comparison) {
+        const auto *sender = m_table.find(gossip.from);
+        return makeGossip(sender != nullptr ? sender->zone : std::string(), now);
+    }
+    // A request without a summary completes a comparison.
+    if (gossip.summary.empty())
+        return makeComparison({}, now);
+    auto reply = makeComparison(m_table.findMissing(gossip.summary, maxComparedMembers), now);
+    reply.wanted = m_table.findUnknown(gossip.summary);
+    return reply;
+}
+
 void Membership::handle(ports::PeerCall call, TimePoint now)
 {
     if (const auto *gossip = std::get_if<ports::Gossip>(&call.request)) {
         onGossip(*gossip, std::nullopt, now);
-        return call.reply(makeGossip(gossip->wholeTable, now));
+        return call.reply(replyTo(*gossip, now));
     }
     const auto *probe = std::get_if<ports::ProbeRequest>(&call.request);
     if (probe == nullptr)
         return;
-    m_link.call(probe->address, makeGossip(false, now), m_period,
+    m_link.call(probe->address, makeGossip(zoneOf(probe->address), now), m_period,
                 [reply = call.reply, name = probe->name](const ports::PeerResult &result) {
                     const bool reached = result.outcome == PeerOutcome::Answered
                         && std::get<ports::Gossip>(result.response).from == name;
--- a/packages/daemon/peers/membership.h
+++ b/packages/daemon/peers/membership.h
@@ -36,18 +36,27 @@
     // Replies to another host. Precondition: the request is a Gossip or a ProbeRequest.
     void handle(ports::PeerCall call, core::TimePoint now);
 
-    // Exchanges gossip with every live host at once, so that a change of this host's state does not
-    // wait for the next periods of the protocol.
+    // Exchanges gossip with the live hosts at once, in a large fleet with all of the own zone and
+    // some of each other one, so that a change of this host's state does not wait for the next
+    // periods of the protocol.
     void exchangeWithAll(core::TimePoint now);
 
 private:
-    ports::Gossip makeGossip(bool wholeTable, core::TimePoint now);
+    // Returns gossip with the updates for a host of the zone.
+    ports::Gossip makeGossip(const std::string &receiverZone, core::TimePoint now);
+    // Returns gossip with these records, for a table comparison.
+    ports::Gossip makeComparison(std::vector<policy::membership::Member> members,
+                                 core::TimePoint now);
     // Sends gossip to `address` and applies the reply. `name`: host that this exchange probes, or
     // empty if it is not a probe.
-    void exchange(const std::string &name, const std::string &address, bool wholeTable,
-                  core::TimePoint now);
-    // Exchanges digests of the member tables, and whole tables if the digests differ.
+    void exchange(const std::string &name, const std::string &address, core::TimePoint now);
+    // Exchanges digests of the member tables, and the differences if the digests differ.
     void compareDigests(const std::string &address, core::TimePoint now);
+    // Exchanges the records that one of the hosts lacks.
+    void compareTables(const std::string &address, core::TimePoint now);
+    ports::Gossip replyTo(const ports::Gossip &gossip, core::TimePoint now);
+    // Returns the zone of the host at a peer address; empty if it is unknown.
+    std::string zoneOf(const std::string &address) const;
     void executeActions(const std::vector<policy::membership::Action> &actions,
                         core::TimePoint now);
     void probeIndirectly(const policy::membership::IndirectProbe &probe);
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <unordered_set>
 
 namespace goldcrestline::policy::membership {
 
@@ -14,6 +16,18 @@
 // Time without a tick, in protocol periods, after which this process is taken to have been paused.
 constexpr int pauseThresholdPeriods = 4;
 
+// Number of sendings of a record that is not spread on: above every retransmit limit.
+constexpr int notSpread = 1 << 20;
+
+// Returns a hash of what hosts have to agree on about a host. Suspicions are left out because they
+// last only seconds and reach the other hosts as updates; loads are left out because hosts never
+// agree on them. Either would make digests differ constantly and trigger comparisons of the tables.
+std::uint64_t recordHash(const Member &member, bool leaving)
+{
+    return core::stableHash(member.name + "/" + std::to_string(member.incarnation) + "/"
+                            + std::to_string(member.refutation) + (leaving ? "/leaving" : ""));
+}
+
 bool reachable(const Member &member)
 {
     return member.state == MemberState::Alive || member.state == MemberState::Suspect;
@@ -75,28 +89,59 @@
     return out;
 }
 
+bool MemberTable::isLargeZone() const
+{
+    const auto peers = std::count_if(m_peers.begin(), m_peers.end(), [this](const auto &it) {
+        return reachable(it.second.member) && it.second.member.zone == m_self.zone;
+    });
+    return static_cast<std::size_t>(peers) >= m_times.minZonePeers;
+}
+
+bool MemberTable::hasRemoteSuspect() const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [this](const auto &it) {
+        return it.second.member.state == MemberState::Suspect
+            && it.second.member.zone != m_self.zone;
+    });
+}
+
 std::optional<std::string> MemberTable::nextProbeTarget()
 {
-    while (!m_probeOrder.empty()) {
-        const auto name = m_probeOrder.back();
-        m_probeOrder.pop_back();
-        const auto it = m_peers.find(name);
-        if (it != m_peers.end() && reachable(it->second.member) && m_pendingProbes.count(name) == 0)
-            return name;
+    if (!isLargeZone())
+        return takeNext(m_probeOrder, [](const Member &) { return true; });
+    ++m_probeCount;
+    if (m_probeCount % m_times.crossZoneProbeInterval == 0 || hasRemoteSuspect()) {
+        auto target = takeNext(m_remoteProbeOrder,
+                               [this](const Member &it) { return it.zone != m_self.zone; });
+        if (target)
+            return target;
     }
+    return takeNext(m_probeOrder, [this](const Member &it) { return it.zone == m_self.zone; });
+}
+
+std::optional<std::string> MemberTable::takeNext(std::vector<std::string> &order,
+                                                 const std::function<bool(const Member &)> &include)
+{
+    const auto takeLast = [&]() -> std::optional<std::string> {
+        while (!order.empty()) {
+            const auto name = order.back();
+            order.pop_back();
+            const auto it = m_peers.find(name);
+            if (it != m_peers.end() && reachable(it->second.member) && include(it->second.member)
+                && m_pendingProbes.count(name) == 0)
+                return name;
+        }
+        return std::nullopt;
+    };
+    if (auto name = takeLast())
+        return name;
     for (const auto &it : m_peers) {
-        if (reachable(it.second.member))
-            m_probeOrder.push_back(it.first);
+        if (reachable(it.second.member) && include(it.second.member))
+            order.push_back(it.first);
     }
-    for (std::size_t i = m_probeOrder.size(); i > 1; --i)
-        std::swap(m_probeOrder[i - 1], m_probeOrder[m_random(static_cast<unsigned>(i))]);
-    if (m_probeOrder.empty())
-        return std::nullopt;
-    const auto name = m_probeOrder.back();
-    m_probeOrder.pop_back();
-    if (m_pendingProbes.count(name) != 0)
-        return std::nullopt;
-    return name;
+    for (std::size_t i = order.size(); i > 1; --i)
+        std::swap(order[i - 1], order[m_random(static_cast<unsigned>(i))]);
+    return takeLast();
 }
 
 std::vector<Action> MemberTable::onDirectProbeFailed(const std::string &name, TimePoint now)
@@ -162,8 +207,10 @@
     });
 }
 
-int MemberTable::applyUpdates(const std::vector<Member> &updates, TimePoint now)
+int MemberTable::applyUpdates(const std::vector<Member> &updates, TimePoint now,
+                              bool fromComparison)
 {
+    const int timesSent = fromComparison ? notSpread : 0;
     int changed = 0;
     for (const auto &update : updates) {
         if (update.name == m_self.name) {
@@ -180,7 +227,7 @@
             // other's messages, so that it was never removed everywhere.
             if (update.state == MemberState::Dead)
                 continue;
-            m_peers[update.name] = {update, now, 0};
+            m_peers[update.name] = {update, now, timesSent};
             ++changed;
             continue;
         }
@@ -193,7 +240,7 @@
         if (it->second.member.state == MemberState::Dead && reachable(update)
             && update.incarnation == it->second.member.incarnation)
             ++m_falseDeaths;
-        it->second = {update, now, 0};
+        it->second = {update, now, timesSent};
         ++changed;
     }
     return changed;
@@ -233,25 +280,92 @@
     return retransmitMultiplier * (1 + static_cast<int>(std::log2(knownCount() + 1)));
 }
 
-std::vector<Member> MemberTable::selectUpdates(bool full)
+std::vector<Member> MemberTable::selectUpdates(const std::string &receiverZone)
 {
+    const bool acrossZones = receiverZone != m_self.zone && isLargeZone();
+    const auto limit = m_times.maxUpdatesPerMessage;
+    // Failures are spread as fast between zones as within one.
+    const auto aliveLimit = acrossZones ? m_times.maxUpdatesAcrossZones : limit;
+    std::size_t aliveCount = 1;
     std::vector<Member> out{m_self};
     std::vector<Peer *> peers;
     for (auto &it : m_peers) {
-        if (full || it.second.timesSent < retransmitLimit())
+        if (it.second.timesSent < retransmitLimit())
             peers.push_back(&it.second);
     }
     std::sort(peers.begin(), peers.end(),
               [](const Peer *a, const Peer *b) { return a->timesSent < b->timesSent; });
     for (auto *it : peers) {
-        if (!full && out.size() >= m_times.maxUpdatesPerMessage)
+        if (out.size() >= limit)
             break;
+        if (it->member.state == MemberState::Alive && ++aliveCount > aliveLimit)
+            continue;
         ++it->timesSent;
         out.push_back(it->member);
     }
     return out;
 }
 
+std::vector<std::uint64_t> MemberTable::summary() const
+{
+    std::vector<std::uint64_t> out;
+    for (const auto &it : live())
+        out.push_back(recordHash(it, it.leaving));
+    return out;
+}
+
+std::vector<Member> MemberTable::findMissing(const std::vector<std::uint64_t> &summary,
+                                             std::size_t limit) const
+{
+    const std::unordered_set<std::uint64_t> known(summary.begin(), summary.end());
+    std::vector<Member> out;
+    for (const auto &it : all()) {
+        // The other host may not know yet that the host was leaving before it stopped or died. The
+        // successor of a stopped host is told in any case, since keys are looked up by it.
+        const bool lacking = reachable(it) ? known.count(recordHash(it, it.leaving)) == 0
+                                           : !it.successor.empty()
+                || known.count(recordHash(it, true)) + known.count(recordHash(it, false)) > 0;
+        if (lacking && out.size() < limit)
+            out.push_back(it);
+    }
+    return out;
+}
+
+std::vector<std::uint64_t> MemberTable::findUnknown(const std::vector<std::uint64_t> &summary) const
+{
+    std::unordered_set<std::uint64_t> known;
+    for (const auto &it : all()) {
+        known.insert(recordHash(it, it.leaving));
+        // Of a host that is dead or stopped, an earlier record says nothing new.
+        if (!reachable(it))
+            known.insert(recordHash(it, !it.leaving));
+    }
+    std::vector<std::uint64_t> out;
+    std::copy_if(summary.begin(), summary.end(), std::back_inserter(out),
+                 [&](std::uint64_t it) { return known.count(it) == 0; });
+    return out;
+}
+
+std::vector<Member> MemberTable::findSuperseding(const std::vector<Member> &received) const
+{
+    std::vector<Member> out;
+    for (const auto &it : received) {
+        const auto *own = find(it.name);
+        if (own != nullptr && own->supersedes(it))
+            out.push_back(*own);
+    }
+    return out;
+}
+
+std::vector<Member> MemberTable::findByHash(const std::vector<std::uint64_t> &hashes) const
+{
+    const std::unordered_set<std::uint64_t> wanted(hashes.begin(), hashes.end());
+    auto out = live();
+    std::erase_if(out,
+                  [&](const Member &it) { return wanted.count(recordHash(it, it.leaving)) == 0; });
+    return out;
+}
+
 void MemberTable::setLeaving()
 {
     m_self.leaving = true;
@@ -279,17 +393,10 @@
 
 std::uint64_t MemberTable::digest() const
 {
-    // Suspicions are left out because they last only seconds and reach the other hosts as updates;
-    // loads are left out because hosts never agree on them. Either would make digests differ
-    // constantly and trigger exchanges of full tables.
-    const auto hashOf = [](const Member &it) {
-        return core::stableHash(it.name + "/" + std::to_string(it.incarnation) + "/"
-                                + std::to_string(it.refutation) + (it.leaving ? "/leaving" : ""));
-    };
-    std::uint64_t out = reachable(m_self) ? hashOf(m_self) : 0;
+    std::uint64_t out = reachable(m_self) ? recordHash(m_self, m_self.leaving) : 0;
     for (const auto &it : m_peers) {
         if (reachable(it.second.member))
-            out ^= hashOf(it.second.member);
+            out ^= recordHash(it.second.member, it.second.member.leaving);
     }
     return out;
 }
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -12,7 +12,8 @@
 #include <vector>
 
 // Failure detection and membership dissemination among the hosts by the SWIM protocol
-// (Das, Gupta, Motivala, 2002).
+// (Das, Gupta, Motivala, 2002). Messages between zones cost more than those within one: in a large
+// zone hosts probe mostly each other, and send fewer records to other zones.
 namespace goldcrestline::policy::membership {
 
 // Protocol parameters.
@@ -32,6 +33,14 @@
     // of a healed network partition find each other.
     int syncIntervalPeriods = 7;
     std::size_t maxUpdatesPerMessage = 12;
+    // The same for records of hosts that are alive in messages to another zone, in a zone with at
+    // least minZonePeers other hosts.
+    std::size_t maxUpdatesAcrossZones = 4;
+    // Fewest reachable other hosts of the own zone for which most probes stay within the zone.
+    std::size_t minZonePeers = 6;
+    // Every how many probes one goes to another zone then. All of them do while a host of another
+    // zone is suspect, so that the loss of a zone is detected as early as within the zone.
+    std::uint64_t crossZoneProbeInterval = 4;
 };
 
 // Sends a direct probe to a host.
@@ -51,9 +60,9 @@
 struct TableSync
 {
     std::string address;
-    // Sends the full table at once instead of comparing digests first, since this host does not
-    // know a reachable host yet.
-    bool wholeTable = false;
+    // Exchanges the differences at once instead of comparing digests first, since this host does
+    // not know a reachable host yet.
+    bool skipDigest = false;
 };
 using Action = std::variant<Probe, IndirectProbe, TableSync>;
 
@@ -77,12 +86,29 @@
     std::vector<Action> onDirectProbeFailed(const std::string &name, core::TimePoint now);
 
     // Merges records received from another host; returns how many of them changed the table.
-    int applyUpdates(const std::vector<Member> &updates, core::TimePoint now);
-
-    // Returns the records to send with the next message, this host's own record first: the full
-    // table, or at most `times.maxUpdatesPerMessage` records, namely recent changes in order of how
-    // often they were sent.
-    std::vector<Member> selectUpdates(bool full);
+    // `fromComparison`: the records are the result of a table comparison. Other hosts learn them by
+    // comparisons of their own, so that they are not spread on.
+    int applyUpdates(const std::vector<Member> &updates, core::TimePoint now,
+                     bool fromComparison = false);
+
+    // Returns the records to send with the next message to a host of the zone, this host's own
+    // record first: recent changes in order of how often they were sent, up to a limit. An empty
+    // zone stands for an unknown one.
+    std::vector<Member> selectUpdates(const std::string &receiverZone);
+
+    // Returns a hash of the record of each host that is alive or suspect, for a comparison.
+    std::vector<std::uint64_t> summary() const;
+    // Returns the records that a host with this summary lacks, and those of its hosts that are
+    // known to be dead or stopped; at most `limit`.
+    std::vector<Member> findMissing(const std::vector<std::uint64_t> &summary,
+                                    std::size_t limit) const;
+    // Returns the hashes in the summary whose records this host lacks.
+    std::vector<std::uint64_t> findUnknown(const std::vector<std::uint64_t> &summary) const;
+    // Returns this host's records that supersede the received ones, so that the sender learns of
+    // them: a host that is wrongly taken to be dead has to refute that.
+    std::vector<Member> findSuperseding(const std::vector<Member> &received) const;
+    // Returns the records with these hashes.
+    std::vector<Member> findByHash(const std::vector<std::uint64_t> &hashes) const;
 
     // Adds seed addresses, for example from the platform's list of hosts; known ones are ignored.
     void addSeeds(const std::vector<std::string> &addresses);
@@ -136,6 +162,13 @@
     void expire(core::TimePoint now);
     void recordHandover(const Member &member, core::TimePoint now);
     std::optional<std::string> nextProbeTarget();
+    // Returns the next reachable host of `order` that `include` accepts and that has no probe in
+    // flight. Fills the order with all such hosts, shuffled, when it is used up.
+    std::optional<std::string> takeNext(std::vector<std::string> &order,
+                                        const std::function<bool(const Member &)> &include);
+    bool isLargeZone() const;
+    // Returns whether a host of another zone is suspect.
+    bool hasRemoteSuspect() const;
     int retransmitLimit() const;
 
     Member m_self;
@@ -147,8 +180,11 @@
     // which this host learned of it.
     std::map<std::pair<std::string, std::uint64_t>, std::pair<std::string, core::TimePoint>>
         m_handovers;
-    // Hosts still to be probed in this round, in random order.
+    // Hosts still to be probed in this round, in random order: of all zones or, in a large zone, of
+    // the own one and of the others.
     std::vector<std::string> m_probeOrder;
+    std::vector<std::string> m_remoteProbeOrder;
+    std::uint64_t m_probeCount = 0;
     // Hosts with a direct or an indirect probe in flight.
     std::set<std::string> m_pendingProbes;
     core::TimePoint m_lastTickAt{};
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -20,8 +20,13 @@
 {
     std::string from;
     std::vector<policy::membership::Member> members;
-    // `members` is the sender's full table; the response is to hold the receiver's full table.
-    bool wholeTable = false;
+    // Part of a table comparison: `members` are records that the receiver was found to lack.
+    bool comparison = false;
+    // In the request of a comparison, hashes of the sender's records of live hosts; the response
+    // holds the records that the sender lacks.
+    std::vector<std::uint64_t> summary;
+    // In the response of a comparison, hashes of the summary whose records the receiver lacks.
+    std::vector<std::uint64_t> wanted;
     // Digest of the sender's members that are alive or suspect.
     std::uint64_t tableDigest = 0;
     std::vector<policy::routing::LeavingNote> leavingServers;
@@ -127,6 +132,17 @@
 
 using PeerHandler = std::function<void(PeerResult)>;
 
+// Bytes of messages that a host sent to others, by their purpose.
+struct PeerTraffic
+{
+    // Probes and the updates that travel with them.
+    std::uint64_t gossip = 0;
+    std::uint64_t comparisons = 0;
+    // Copies of documents.
+    std::uint64_t documents = 0;
+    std::uint64_t other = 0;
+};
+
 // Sends calls to other hosts. Methods are called on the owner's event loop; handlers run there.
 class PeerLink
 {
--- a/tests/bench/sizes.cpp
+++ b/tests/bench/sizes.cpp
@@ -65,9 +65,12 @@
     const double before = residentBytes();
     table.applyUpdates(all, now);
     print("member table, 590 hosts, resident", (residentBytes() - before) / 1000, "KB");
-    const auto messageBytes = [&](bool whole) {
+    const auto messageBytes = [&](bool comparison) {
         ports::Gossip gossip;
-        gossip.members = table.selectUpdates(whole);
+        if (comparison)
+            gossip.summary = table.summary();
+        else
+            gossip.members = table.selectUpdates(table.self().zone);
         return static_cast<double>(
             adapters::peers::encode(1, ports::PeerRequest(std::move(gossip))).size());
     };
@@ -75,9 +78,9 @@
     // Each update is sent a limited number of times; after that a message contains only the
     // sender's own record.
     for (int i = 0; i < 4000; ++i)
-        table.selectUpdates(false);
+        table.selectUpdates(table.self().zone);
     print("message without pending updates", messageBytes(false), "bytes");
-    print("message with the whole table", messageBytes(true), "bytes");
+    print("request of a table comparison", messageBytes(true), "bytes");
     print("one period of the protocol",
           microsecondsPerCall(200,
                               [&] {
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -3,6 +3,7 @@
 #include "policy/entrypoints/entry_points.h"
 #include "policy/entrypoints/processor_load_estimator.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <random>
@@ -25,15 +26,26 @@
     std::set<std::pair<int, int>> cutLinks;
     std::set<int> paused;
     double loss = 0;
-    // Exchanges of full tables that were triggered by differing digests.
-    int fullTableExchanges = 0;
-
-    explicit Hosts(int n, unsigned seed = 1) : random(seed)
+    // Comparisons of tables that were triggered by differing digests.
+    int comparisons = 0;
+    // Records sent to hosts of other zones, without the senders' own ones.
+    std::size_t recordsAcrossZones = 0;
+    int zones = 3;
+    MembershipTimings timings;
+
+    explicit Hosts(int n, unsigned seed = 1, int zones = 3) : random(seed), zones(zones)
     {
         for (int i = 0; i < n; ++i)
             tables.push_back(make(i, 1));
     }
 
+    // Replaces all hosts, so that a change of `timings` takes effect.
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < tables.size(); ++i)
+            tables[i] = make(static_cast<int>(i), 1);
+    }
+
     static std::string name(int i) { return "h" + std::to_string(i); }
     static int index(const std::string &address) { return std::stoi(address.substr(1)); }
 
@@ -41,11 +53,11 @@
     {
         Member self;
         self.name = name(i);
-        self.zone = std::string(1, static_cast<char>('a' + i % 3));
+        self.zone = std::string(1, static_cast<char>('a' + i % zones));
         self.peersAddress = name(i);
         self.incarnation = incarnation;
         return std::make_unique<MemberTable>(
-            self, std::vector<std::string>{"h0", "h1", "h2"}, MembershipTimings{},
+            self, std::vector<std::string>{"h0", "h1", "h2"}, timings,
             [this](unsigned k) { return static_cast<unsigned>(random() % k); });
     }
 
@@ -58,26 +70,51 @@
         return std::uniform_real_distribution<>(0, 1)(random) >= loss;
     }
 
-    bool exchange(int from, int to, bool full)
+    void send(const MemberTable &from, MemberTable &to, const std::vector<Member> &records,
+              bool fromComparison)
+    {
+        if (from.self().zone != to.self().zone)
+            recordsAcrossZones += records.size() - (records.empty() ? 0 : 1);
+        to.applyUpdates(records, now, fromComparison);
+    }
+
+    bool exchange(int from, int to)
     {
         if (from == to || !reaches(from, to))
             return false;
         auto &a = *tables[static_cast<std::size_t>(from)];
         auto &b = *tables[static_cast<std::size_t>(to)];
-        b.applyUpdates(a.selectUpdates(full), now);
-        a.applyUpdates(b.selectUpdates(full), now);
+        send(a, b, a.selectUpdates(b.self().zone), false);
+        send(b, a, b.selectUpdates(a.self().zone), false);
         return true;
     }
 
-    void syncTables(int from, int to, bool full)
+    void compareTables(int from, int to)
     {
-        if (!exchange(from, to, full) || full)
+        if (from == to || !reaches(from, to))
+            return;
+        auto &a = *tables[static_cast<std::size_t>(from)];
+        auto &b = *tables[static_cast<std::size_t>(to)];
+        send(a, b, {a.self()}, true);
+        const auto summary = a.summary();
+        const auto missing = b.findMissing(summary, 1000);
+        const auto unknown = b.findUnknown(summary);
+        send(b, a, missing, true);
+        send(a, b, a.findByHash(unknown), true);
+        send(a, b, a.findSuperseding(missing), true);
+    }
+
+    void syncTables(int from, int to, bool skipDigest)
+    {
+        if (skipDigest)
+            return compareTables(from, to);
+        if (!exchange(from, to))
             return;
         const auto digest = tables[static_cast<std::size_t>(to)]->digest();
         if (digest == tables[static_cast<std::size_t>(from)]->digest())
             return;
-        ++fullTableExchanges;
-        exchange(from, to, true);
+        ++comparisons;
+        compareTables(from, to);
     }
 
     void apply(int i, const std::vector<Action> &actions)
@@ -85,12 +122,12 @@
         auto &table = *tables[static_cast<std::size_t>(i)];
         for (const auto &action : actions) {
             if (const auto *probe = std::get_if<Probe>(&action)) {
-                if (exchange(i, index(probe->address), false))
+                if (exchange(i, index(probe->address)))
                     table.onProbeResult(probe->name, true, now);
                 else
                     apply(i, table.onDirectProbeFailed(probe->name, now));
             } else if (const auto *contact = std::get_if<TableSync>(&action)) {
-                syncTables(i, index(contact->address), contact->wholeTable);
+                syncTables(i, index(contact->address), contact->skipDigest);
             } else {
                 const auto &indirect = std::get<IndirectProbe>(action);
                 const int via = index(indirect.via);
@@ -293,21 +330,80 @@
     }
 }
 
-TEST_CASE("hosts with equal tables exchange no full tables", "[membership]")
+TEST_CASE("hosts with equal tables do not compare them", "[membership]")
 {
     Hosts hosts(30);
     hosts.run(20s);
     REQUIRE(hosts.tablesAgree());
-    hosts.fullTableExchanges = 0;
+    hosts.comparisons = 0;
     hosts.run(60s);
-    CHECK(hosts.fullTableExchanges == 0);
+    CHECK(hosts.comparisons == 0);
     hosts.tables[4]->setStrained(true);
     hosts.run(6s);
     for (const auto &it : hosts.tables)
         CHECK(it->find("h4")->strained);
 }
 
-TEST_CASE("hosts that missed updates receive them with a full table", "[membership]")
+TEST_CASE("a joint start of a large fleet sends each record to each host about once",
+          "[membership]")
+{
+    constexpr int count = 100;
+    Hosts hosts(count, 3, 5);
+    hosts.run(15s);
+    REQUIRE(hosts.tablesAgree());
+    // Each host needs the record of each other one once; twice that is allowed.
+    CHECK(hosts.recordsAcrossZones < 2UL * count * count);
+    // No records travel any more once all hosts know each other.
+    hosts.run(30s);
+    hosts.recordsAcrossZones = 0;
+    hosts.run(30s);
+    CHECK(hosts.recordsAcrossZones == 0);
+    // A change reaches every host soon.
+    hosts.tables[7]->setStrained(true);
+    hosts.run(4s);
+    for (const auto &it : hosts.tables)
+        CHECK(it->find("h7")->strained);
+}
+
+TEST_CASE("the loss of a zone is detected as early as if hosts probed all zones alike",
+          "[membership]")
+{
+    constexpr int count = 60;
+    // Returns the time from the loss of zone "a" until no host takes one of its hosts for alive.
+    const auto detectionTime = [](std::size_t minZonePeers, unsigned seed) {
+        Hosts hosts(count, seed);
+        hosts.timings.minZonePeers = minZonePeers;
+        hosts.restartAll();
+        hosts.run(10s);
+        REQUIRE(hosts.tablesAgree());
+        for (std::size_t i = 0; i < count; i += 3)
+            hosts.tables[i].reset();
+        const auto lostAt = hosts.now;
+        const auto takenForAlive = [&] {
+            return std::any_of(hosts.tables.begin(), hosts.tables.end(), [](const auto &table) {
+                if (!table)
+                    return false;
+                const auto members = table->all();
+                return std::any_of(members.begin(), members.end(), [](const Member &it) {
+                    return it.zone == "a" && it.state == MemberState::Alive;
+                });
+            });
+        };
+        while (takenForAlive() && hosts.now < lostAt + 20s)
+            hosts.run(300ms);
+        return hosts.now - lostAt;
+    };
+    core::Duration byZone{0};
+    core::Duration alike{0};
+    constexpr unsigned runs = 5;
+    for (unsigned seed = 1; seed <= runs; ++seed) {
+        byZone += detectionTime(MembershipTimings().minZonePeers, seed);
+        alike += detectionTime(count, seed);
+    }
+    CHECK(byZone <= alike + runs * MembershipTimings().period);
+}
+
+TEST_CASE("hosts that missed updates receive them by a comparison of tables", "[membership]")
 {
     Hosts hosts(12);
     hosts.run(12s);
