Let two hosts of a large zone watch the store for all

Change: in a zone with seven or more hosts two of them watch, by rendezvous hashing; the others poll these in turn every 0.7 s for the changes of the server list since their version, a newer configuration, and the age of the watchers' last answer from the store. If that is over 2.5 s old, or no watcher answers, a host watches by itself, for 5 s longer than needed. A host that starts waits 150 ms for copies of others (1.5 s at the first start of the deployment) and then reads the store. A host registers by replacing its record, but at the first start, and lists the hosts from data that may be seconds old, at a tenth of the price. Smaller zones work as before.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -198,6 +198,35 @@
         writeEntry(from.entries[i], entries[i]);
 }
 
+void writeContent(const ports::CopyRequest &from, wire::Message::Builder to)
+{
+    auto follow = to.initFollow();
+    follow.setEra(from.since.era);
+    follow.setRevision(from.since.revision);
+}
+
+void writeAnswer(const ports::CopyResponse &from, wire::Message::Builder to)
+{
+    auto followed = to.initFollowed();
+    followed.setEra(from.version.era);
+    followed.setRevision(from.version.revision);
+    followed.setWhole(from.whole);
+    followed.setChanges(asData(from.changes));
+    followed.setConfigVersion(from.configVersion);
+    followed.setConfirmationAgeMs(from.confirmationAge.count());
+}
+
+ports::CopyResponse readCopyResponse(wire::Message::Followed::Reader from)
+{
+    ports::CopyResponse response;
+    response.version = {from.getEra(), from.getRevision()};
+    response.whole = from.getWhole();
+    response.changes = asString(from.getChanges());
+    response.configVersion = from.getConfigVersion();
+    response.confirmationAge = core::Millis(std::max<std::int64_t>(0, from.getConfirmationAgeMs()));
+    return response;
+}
+
 void writeAnswer(const ports::Gossip &from, wire::Message::Builder to)
 {
     writeGossip(from, to.initExchanged());
@@ -289,6 +318,11 @@
         return PeerRequest(readAdopt(from.getAdopt()));
     case wire::Message::ADOPTED:
         return PeerResponse(ports::AdoptResponse{from.getAdopted()});
+    case wire::Message::FOLLOW:
+        return PeerRequest(
+            ports::CopyRequest{{from.getFollow().getEra(), from.getFollow().getRevision()}});
+    case wire::Message::FOLLOWED:
+        return PeerResponse(readCopyResponse(from.getFollowed()));
     }
     KJ_FAIL_REQUIRE("unknown message type");
 }
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -127,12 +127,14 @@
         // A request and its response have the same index in both variants.
         constexpr std::size_t probeIndex = 1;
         constexpr std::size_t fetchIndex = 2;
+        constexpr std::size_t copyIndex = 6;
         if (const auto *gossip = std::get_if<ports::Gossip>(&message)) {
             (gossip->comparison ? traffic.comparisons : traffic.gossip) += bytes;
         } else if (message.index() == probeIndex) {
             traffic.gossip += bytes;
         } else {
-            (message.index() == fetchIndex ? traffic.documents : traffic.other) += bytes;
+            const bool isDocument = message.index() == fetchIndex || message.index() == copyIndex;
+            (isDocument ? traffic.documents : traffic.other) += bytes;
         }
     }
 
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -102,5 +102,19 @@
       latest @23 :Int64;
     }
     adopted @24 :Bool;
+    # Requests the changes of the receiver's server list since a version, and how recent its copies
+    # are.
+    follow :group {
+      era @25 :UInt64;
+      revision @26 :UInt64;
+    }
+    followed :group {
+      era @27 :UInt64;
+      revision @28 :UInt64;
+      whole @29 :Bool;
+      changes @30 :Data;
+      configVersion @31 :UInt64;
+      confirmationAgeMs @32 :Int64;
+    }
   }
 }
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -22,6 +22,8 @@
         // Interface offered to callers: "plans", the product's own interface, or "routes", which
         // forwards requests according to the platform's routes.
         TextNode serves{this, "serves", "plans", Presence::Optional};
+        // 1 at the first start of the whole deployment, when all hosts start together.
+        IntegerNode firstStart{this, "first_start", 0, 0, 1};
         // Processor capacity of the host: its share of each core, and the number of cores.
         NumberNode coreShare{this, "core_share", 1, 0.001, 1000};
         IntegerNode cores{this, "cores", 1, 1, 10000};
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -79,6 +79,12 @@
     call.reply(m_documents.localCopy(request.kind));
 }
 
+void PeerService::handleRequest(ports::CopyRequest &, ports::PeerCall &call, TimePoint)
+{
+    // Hosts of plans keep no list of the platform's servers.
+    call.reply(ports::CopyResponse{});
+}
+
 void PeerService::handleRequest(ports::RunRequest &request, ports::PeerCall &call, TimePoint now)
 {
     m_requests.handleForwarded(std::move(request), now,
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -48,6 +48,10 @@
 constexpr core::Millis exitMargin{700};
 // Interval between checks of the settings file's modification time, for changes without SIGHUP.
 constexpr core::Millis settingsCheckPeriod{2000};
+// Time in which a host that starts waits for copies of other hosts, at the first start of the
+// deployment and later: callers wait for it then.
+constexpr core::Millis firstStartDelay{1500};
+constexpr core::Millis startupDelay{150};
 constexpr core::Millis trafficLogPeriod{10000};
 constexpr std::string_view metricsPath = "/v1/metrics";
 // Interval between estimates of the processor utilization.
@@ -93,7 +97,8 @@
           m_members(makeMemberTable()),
           m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
           m_processorLoad(peers::availableCores(*m_settings)),
-          m_registry(m_members.self(), m_storeClient, registryHooks()),
+          m_registry(m_members.self(), m_settings->host.firstStart.value != 0, m_storeClient,
+                     registryHooks()),
           m_callers(m_io, m_settings->listen.callers.value, {}, callerHooks()),
           m_directory(m_io, m_settings->listen.directory.value, {}, infoHooks()),
           m_readiness(m_io, m_settings->listen.readiness.value, {}, infoHooks()),
@@ -203,13 +208,13 @@
             [this](std::optional<std::uint64_t> era) {
                 return m_copy.observeEra(era, core::Clock::now());
             },
-            [this](const std::vector<std::string> &addresses) { m_members.addSeeds(addresses); }};
+            [this](const std::vector<policy::membership::Member> &hosts) { onRegistered(hosts); }};
     }
 
     peers::Membership::Hooks membershipHooks()
     {
         return {[this](ports::Gossip &gossip, TimePoint now) {
-                    m_copy.fillGossip(gossip);
+                    m_copy.fillGossip(gossip, now);
                     gossip.leavingServers = m_backends.recentLeavingNotes(now);
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
@@ -221,6 +226,31 @@
                 }};
     }
 
+    void onRegistered(const std::vector<policy::membership::Member> &hosts)
+    {
+        std::vector<std::string> addresses;
+        for (const auto &it : hosts) {
+            addresses.push_back(it.peersAddress);
+            m_zoneHostsRegistered += it.zone == m_members.self().zone ? 1 : 0;
+        }
+        m_members.addSeeds(addresses);
+    }
+
+    void updateRole(TimePoint now)
+    {
+        if (m_startedAt == TimePoint{})
+            m_startedAt = now;
+        // The registry tells whether this host will find others to follow.
+        const bool alone = m_registry.hostsRead()
+            && m_zoneHostsRegistered < policy::mirror::WatchRoleTimings().minSharedHosts;
+        if (m_settings->host.firstStart.value != 0) {
+            m_copy.setStartupDelay(firstStartDelay);
+        } else {
+            m_copy.setStartupDelay(alone ? core::Millis(0) : startupDelay);
+        }
+        m_copy.updateRole(m_members.live(), m_members.self(), now);
+    }
+
     void noteLeavingServers(const ports::Gossip &gossip, TimePoint now)
     {
         for (const auto &it : gossip.leavingServers) {
@@ -241,6 +271,8 @@
     {
         if (const auto *fetch = std::get_if<ports::FetchRequest>(&call.request))
             return call.reply(m_copy.handleFetch(fetch->kind));
+        if (const auto *follower = std::get_if<ports::CopyRequest>(&call.request))
+            return call.reply(m_copy.handleFollower(*follower, core::Clock::now()));
         m_membership.handle(std::move(call), core::Clock::now());
     }
 
@@ -280,10 +312,11 @@
         gauges.version = m_copy.version();
         gauges.members = m_members.live().size();
         gauges.running = m_forward.running();
-        gauges.storeCalls = m_copy.storeCalls();
+        gauges.storeCalls = m_copy.storeCalls() + m_registry.calls();
+        gauges.storeWatching = m_copy.watching();
         gauges.storeEra = m_copy.storeEra().newest();
         gauges.storeRestores = m_copy.storeEra().rises();
-        gauges.storeReached = m_copy.storeReached();
+        gauges.storeReached = m_copy.storeReached(core::Clock::now());
         gauges.connectionsOpened = m_backendClient.connectionsOpened();
         gauges.peerBytes = m_link.traffic();
         gauges.storeBytes = m_storeClient.bytesReceived();
@@ -383,7 +416,7 @@
                  + " documents=" + std::to_string(peers.documents)
                  + " store=" + std::to_string(m_storeClient.bytesReceived())
                  + " servers=" + std::to_string(m_backendClient.bytesReceived())
-                 + " store_calls=" + std::to_string(m_copy.storeCalls()));
+                 + " store_calls=" + std::to_string(m_copy.storeCalls() + m_registry.calls()));
     }
 
     void checkShutdown(TimePoint now)
@@ -417,6 +450,8 @@
     {
         m_backendClient.tick(now);
         m_storeClient.tick(now);
+        if (!m_copy.serversKnown())
+            updateRole(now);
         m_copy.tick(now);
         m_registry.tick(now);
         for (auto *it : {&m_callers, &m_directory, &m_readiness, &m_control})
@@ -427,6 +462,7 @@
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
             updateQuota(now);
+            updateRole(now);
         }
         if (now >= m_processorCheckAt) {
             m_processorCheckAt = now + processorCheckPeriod;
@@ -479,6 +515,9 @@
     HttpServer m_control;
     // Separate port from which the platform scrapes metrics.
     std::optional<HttpServer> m_metrics;
+    TimePoint m_startedAt{};
+    // Hosts of this host's zone that were registered at the start.
+    std::size_t m_zoneHostsRegistered = 0;
     TimePoint m_maintenanceAt{};
     TimePoint m_memberTickAt{};
     TimePoint m_processorCheckAt{};
--- a/packages/daemon/forward/host_registry.cpp
+++ b/packages/daemon/forward/host_registry.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-HostRegistry::HostRegistry(policy::membership::Member self, adapters::loop::ExchangeClient &client,
-                           Hooks hooks)
-    : m_self(std::move(self)), m_client(client), m_hooks(std::move(hooks))
+HostRegistry::HostRegistry(policy::membership::Member self, bool firstStart,
+                           adapters::loop::ExchangeClient &client, Hooks hooks)
+    : m_self(std::move(self)), m_client(client), m_hooks(std::move(hooks)),
+      m_step(firstStart ? Step::Create : Step::Replace)
 { }
 
 void HostRegistry::tick(TimePoint now)
@@ -39,7 +40,8 @@
     case Step::Replace:
         return send(platform::replaceRequest(kind, m_self.name, platform::encodeHost(m_self)), now);
     case Step::List:
-        return send(platform::listRequest(kind, m_listAfter), now);
+        // Hosts that are missing from an older list are found through other hosts.
+        return send(platform::listRequest(kind, m_listAfter, true), now);
     case Step::Done:
         return;
     }
@@ -48,6 +50,7 @@
 void HostRegistry::send(ports::ExchangeRequest request, TimePoint now)
 {
     m_callPending = true;
+    ++m_calls;
     request.deadline = now + responseTimeout;
     m_client.send(m_hooks.address(), std::move(request), now,
                   [this](const ports::ExchangeResult &result) {
@@ -58,7 +61,7 @@
 
 void HostRegistry::onStoreRestored(TimePoint now)
 {
-    m_step = Step::Create;
+    m_step = Step::Replace;
     m_listAfter.clear();
     m_nextCallAt = now;
     m_callOutdated = m_callPending;
@@ -95,17 +98,18 @@
 
 void HostRegistry::addHosts(const platform::StoreReply &reply)
 {
-    std::vector<std::string> addresses;
+    std::vector<policy::membership::Member> hosts;
     for (const auto &it : reply.items) {
         const auto host = platform::decodeHost(it.name, it.spec);
         if (!host.has_value()) {
             log.warning("host record rejected: " + host.error().text());
             continue;
         }
-        addresses.push_back(host.value().peersAddress);
+        hosts.push_back(host.value());
     }
-    m_hooks.onHosts(addresses);
+    m_hooks.onHosts(hosts);
     m_step = Step::Done;
+    m_hostsRead = true;
     if (reply.more && !reply.items.empty()) {
         m_listAfter = reply.items.back().name;
         m_step = Step::List;
--- a/packages/daemon/forward/host_registry.h
+++ b/packages/daemon/forward/host_registry.h
@@ -24,12 +24,13 @@
         std::function<std::string()> address;
         // Compares the era of a store response with the newest one known.
         std::function<policy::mirror::EraOrder(std::optional<std::uint64_t> era)> observeEra;
-        // Receives the peer addresses of the registered hosts.
-        std::function<void(const std::vector<std::string> &)> onHosts;
+        // Receives the registered hosts of one page of the list.
+        std::function<void(const std::vector<policy::membership::Member> &)> onHosts;
     };
 
-    HostRegistry(policy::membership::Member self, adapters::loop::ExchangeClient &client,
-                 Hooks hooks);
+    // `firstStart`: no host is registered yet.
+    HostRegistry(policy::membership::Member self, bool firstStart,
+                 adapters::loop::ExchangeClient &client, Hooks hooks);
 
     // Makes the next call to the store when it is due. Call periodically.
     void tick(core::TimePoint now);
@@ -37,6 +38,11 @@
     // Registers again, since the store was restored from a copy that may lack this host's record.
     void onStoreRestored(core::TimePoint now);
 
+    // Returns whether the hosts that were registered at the start have been read.
+    bool hostsRead() const { return m_hostsRead; }
+    // Returns the number of calls to the store since the start.
+    std::uint64_t calls() const { return m_calls; }
+
 private:
     enum class Step { Create, Replace, List, Done };
 
@@ -48,6 +54,8 @@
     adapters::loop::ExchangeClient &m_client;
     Hooks m_hooks;
     Step m_step = Step::Create;
+    bool m_hostsRead = false;
+    std::uint64_t m_calls = 0;
     bool m_callPending = false;
     // The call in flight was sent before the store was restored, so that its effect may be lost.
     bool m_callOutdated = false;
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -18,6 +18,8 @@
     std::size_t running = 0;
     std::uint64_t storeCalls = 0;
     bool storeReached = false;
+    // This host watches the store instead of following other hosts.
+    bool storeWatching = false;
     // Newest era of the store, and how often it rose since the start.
     std::uint64_t storeEra = 0;
     std::uint64_t storeRestores = 0;
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -18,14 +18,28 @@
 // Time for a newer version that a peer reported to arrive through this host's own watch, before it
 // is fetched from the peer.
 constexpr core::Millis watchDelayLimit{400};
+// The same for a follower, which learns it by its polls.
+constexpr core::Millis followDelayLimit{1500};
 constexpr core::Millis fetchTimeout{1000};
+// Time for which the store holds a watch without changes. It is long because store calls are
+// billed; a dead connection is detected earlier, by TCP keep-alive.
+constexpr core::Millis longWatchWait{25000};
+// The same for the servers on a host that others follow, whose responses confirm the copies of all.
+constexpr core::Millis followedWatchWait{1500};
+// Age reported without any confirmation.
+constexpr core::Millis unconfirmedAge{3600000};
 
 } // namespace
 
 PlatformCopy::PlatformCopy(adapters::loop::ExchangeClient &client,
                            policy::forward::BackendTable &backends, ports::PeerLink &peers,
                            core::Duration entryLifetime, Hooks hooks)
-    : m_peers(peers), m_hooks(std::move(hooks)), m_serverList(backends, entryLifetime),
+    : m_peers(peers), m_hooks(std::move(hooks)), m_role({}),
+      m_follower(peers, m_role,
+                 {[this] { return m_serversVersion; },
+                  [this](const ports::CopyResponse &response, const std::string &address,
+                         TimePoint now) { onFollowed(response, address, now); }}),
+      m_serverList(backends, entryLifetime),
       m_config(platform::names::configKind, client, makeMirror(), configHooks()),
       m_servers(platform::names::serversKind, client, makeMirror(), serverHooks())
 { }
@@ -45,6 +59,8 @@
         [](const std::string &name, TimePoint) {
             log.warning("configuration removed name=" + name + "; the last one remains in force");
         },
+        [](TimePoint) {},
+        [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
 }
@@ -56,6 +72,8 @@
             m_serverList.onObject(object.name, object.spec, now);
         },
         [this](const std::string &name, TimePoint now) { m_serverList.onRemoved(name, now); },
+        [this](TimePoint now) { onServersSynced(now); },
+        [this] { return m_role.followed() ? followedWatchWait : longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
 }
@@ -77,18 +95,89 @@
     m_hooks.onRoutes(m_table);
 }
 
+void PlatformCopy::updateRole(const std::vector<policy::membership::Member> &live,
+                              const policy::membership::Member &self, TimePoint now)
+{
+    m_role.update(live, self, m_table != nullptr && serversKnown(), now);
+    if (m_role.watching() == m_wasWatching)
+        return;
+    m_wasWatching = m_role.watching();
+    log.info(m_wasWatching ? "watching the store" : "following other hosts");
+    if (m_wasWatching)
+        return m_servers.addKnown(m_serverList.ids());
+    m_config.stop(now);
+    m_servers.stop(now);
+    m_loadedFromPeer = serversKnown();
+    m_loadedFromStore = false;
+}
+
 void PlatformCopy::tick(TimePoint now)
 {
-    m_config.tick(now);
-    m_servers.tick(now);
-    if (!m_loadedFromStore && m_servers.mirror().complete()) {
-        m_loadedFromStore = true;
-        m_serverList.dropPeerEntries(now);
+    if (m_wasWatching) {
+        m_config.tick(now);
+        m_servers.tick(now);
     }
+    m_follower.tick(now);
     m_serverList.tick(now);
     checkStale(now);
 }
 
+void PlatformCopy::onServersSynced(TimePoint now)
+{
+    if (!m_servers.mirror().complete())
+        return;
+    m_loadedFromStore = true;
+    m_syncedAt = now;
+    m_serversVersion = {m_era.newest(), m_servers.mirror().revision()};
+    m_serverList.commit(m_serversVersion, now);
+}
+
+void PlatformCopy::onFollowed(const ports::CopyResponse &response, const std::string &address,
+                              TimePoint now)
+{
+    observeEra(response.version.era, now);
+    if (response.configVersion > version())
+        fetch(DocumentKind::Lists, address);
+    // While this host watches by itself, its own list is as new.
+    if (m_wasWatching || response.version < m_serversVersion)
+        return;
+    if (!response.changes.empty()) {
+        auto entries = nlohmann::json::parse(response.changes, nullptr, false);
+        if (entries.is_discarded()) {
+            log.warning("malformed server list from=" + address);
+            return;
+        }
+        m_serverList.applyChanges({response.whole, std::move(entries)}, now);
+    }
+    m_serversVersion = response.version;
+    m_serverList.commit(m_serversVersion, now);
+    m_loadedFromPeer = true;
+}
+
+ports::CopyResponse PlatformCopy::handleFollower(const ports::CopyRequest &request,
+                                                 TimePoint now) const
+{
+    ports::CopyResponse response;
+    response.version = m_serversVersion;
+    response.configVersion = version();
+    response.confirmationAge = confirmationAge(now);
+    if (request.since > m_serversVersion)
+        return response;
+    const auto changes = m_serverList.changesSince(request.since, now);
+    response.whole = changes.whole;
+    if (changes.whole || !changes.entries.empty())
+        response.changes = changes.entries.dump();
+    return response;
+}
+
+core::Millis PlatformCopy::confirmationAge(TimePoint now) const
+{
+    if (m_wasWatching && m_syncedAt != TimePoint{})
+        return std::chrono::ceil<core::Millis>(now - m_syncedAt);
+    const auto age = m_role.confirmationAge(now);
+    return age ? std::chrono::ceil<core::Millis>(*age) : unconfirmedAge;
+}
+
 policy::mirror::EraOrder PlatformCopy::observeEra(std::optional<std::uint64_t> era, TimePoint now)
 {
     const auto order = m_era.observe(era);
@@ -97,22 +186,27 @@
     log.warning("store restored from an older copy era=" + std::to_string(m_era.newest())
                 + "; reading everything again");
     m_serverList.onStoreRestored(now);
-    m_config.onStoreRestored(now);
-    m_servers.onStoreRestored(now);
+    if (m_wasWatching) {
+        m_config.onStoreRestored(now);
+        m_servers.onStoreRestored(now);
+    }
     m_hooks.onStoreRestored(now);
     return order;
 }
 
-bool PlatformCopy::storeReached() const
+bool PlatformCopy::storeReached(TimePoint now) const
 {
+    if (!m_wasWatching)
+        return confirmationAge(now) <= policy::mirror::WatchRoleTimings().maxConfirmationAge;
     return !m_config.mirror().failing() && !m_servers.mirror().failing();
 }
 
-void PlatformCopy::fillGossip(ports::Gossip &gossip) const
+void PlatformCopy::fillGossip(ports::Gossip &gossip, TimePoint now) const
 {
+    gossip.confirmationAge = confirmationAge(now);
     gossip.listsVersion.revision = version();
     gossip.storeEra = m_era.newest();
-    gossip.fleetRevision = m_servers.mirror().revision();
+    gossip.fleetRevision = m_serversVersion.revision;
 }
 
 void PlatformCopy::onGossip(const ports::Gossip &gossip, const std::string &address, TimePoint now)
@@ -136,22 +230,23 @@
         m_staleSince = {};
         return;
     }
-    if (m_staleSince == TimePoint{} || now - m_staleSince < watchDelayLimit)
+    const auto limit = m_wasWatching ? watchDelayLimit : followDelayLimit;
+    if (m_staleSince == TimePoint{} || now - m_staleSince < limit)
         return;
     m_staleSince = now;
     log.info("peers hold a newer version=" + std::to_string(m_highestVersion)
              + " own=" + std::to_string(version()));
     // A watch on a connection that delivers no more data would end only at its time-out.
-    if (!m_config.mirror().failing())
+    if (m_wasWatching && !m_config.mirror().failing())
         m_config.restart(now);
-    fetch(DocumentKind::Lists);
-    if (!m_servers.mirror().complete())
-        fetch(DocumentKind::Fleet);
+    fetch(DocumentKind::Lists, m_highestVersionHost);
+    if (!serversKnown())
+        fetch(DocumentKind::Fleet, m_highestVersionHost);
 }
 
-void PlatformCopy::fetch(DocumentKind kind)
+void PlatformCopy::fetch(DocumentKind kind, const std::string &address)
 {
-    m_peers.call(m_highestVersionHost, ports::FetchRequest{kind}, fetchTimeout,
+    m_peers.call(address, ports::FetchRequest{kind}, fetchTimeout,
                  [this](const ports::PeerResult &result) {
                      if (result.outcome != ports::PeerOutcome::Answered) {
                          // Accept the next host that reports the version.
@@ -171,9 +266,10 @@
     }
     if (copy.kind == DocumentKind::Lists)
         return applyConfig(parsed, "peer");
-    if (m_servers.mirror().complete())
+    if (m_loadedFromStore || m_serversVersion.revision != 0)
         return;
     m_serverList.loadFromPeer(parsed, core::Clock::now());
+    m_servers.addKnown(m_serverList.ids());
     m_loadedFromPeer = true;
 }
 
@@ -181,7 +277,7 @@
 {
     if (kind == DocumentKind::Lists)
         return {kind, version(), m_configText};
-    return {kind, m_servers.mirror().revision(), m_serverList.toJson().dump()};
+    return {kind, m_serversVersion.revision, m_serverList.toJson().dump()};
 }
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -2,6 +2,7 @@
 
 #include "adapters/loop/exchange_client.h"
 #include "core/clock.h"
+#include "daemon/forward/copy_follower.h"
 #include "daemon/forward/server_list.h"
 #include "daemon/forward/store_sync.h"
 #include "policy/forward/backend_table.h"
@@ -14,9 +15,9 @@
 
 namespace goldcrestline::daemon::forward {
 
-// This host's copy of the platform's configuration and server list, read from the store, or from
-// other hosts while the store is unreachable. The configuration is never replaced by an older
-// version. Not thread-safe: use only on the event loop's thread.
+// This host's copy of the platform's configuration and server list, read from the store or, in a
+// large zone or while the store is unreachable, from other hosts. The configuration is never
+// replaced by an older version. Not thread-safe: use only on the event loop's thread.
 class PlatformCopy
 {
 public:
@@ -39,8 +40,17 @@
     // Makes the calls to the store and to peers that are due. Call periodically.
     void tick(core::TimePoint now);
 
+    // Decides from the live hosts, `self` included, whether this host watches the store or follows
+    // others. Call once per membership period, and more often until servers are known.
+    void updateRole(const std::vector<policy::membership::Member> &live,
+                    const policy::membership::Member &self, core::TimePoint now);
+    // Sets the time after the start in which this host waits for copies of other hosts before it
+    // reads the store itself.
+    void setStartupDelay(core::Duration delay) { m_role.setStartupDelay(delay); }
+    bool watching() const { return m_role.watching(); }
+
     // Fills in the versions of this host's copies.
-    void fillGossip(ports::Gossip &gossip) const;
+    void fillGossip(ports::Gossip &gossip, core::TimePoint now) const;
 
     // Compares this host's configuration version with that of the host at `address`.
     void onGossip(const ports::Gossip &gossip, const std::string &address, core::TimePoint now);
@@ -48,6 +58,10 @@
     // Returns this host's copy of a document, in reply to another host's fetch request.
     ports::FetchResponse handleFetch(ports::DocumentKind kind) const;
 
+    // Returns the changes of the server list since a version, for a host that follows this one.
+    ports::CopyResponse handleFollower(const ports::CopyRequest &request,
+                                       core::TimePoint now) const;
+
     // Returns whether the server list was loaded, from the store or from another host.
     bool serversKnown() const { return m_loadedFromStore || m_loadedFromPeer; }
     // Returns the version of the configuration in force; 0 without one.
@@ -60,19 +74,32 @@
     const policy::mirror::StoreEra &storeEra() const { return m_era; }
 
     // Returns whether the last calls to the store succeeded.
-    bool storeReached() const;
+    bool storeReached(core::TimePoint now) const;
 
 private:
     StoreSync::Hooks configHooks();
     StoreSync::Hooks serverHooks();
     policy::mirror::Mirror makeMirror();
+    // Records that the server list equals the store's.
+    void onServersSynced(core::TimePoint now);
+    void onFollowed(const ports::CopyResponse &response, const std::string &address,
+                    core::TimePoint now);
+    // Returns the age of the newest proof that the copies equal the store's.
+    core::Millis confirmationAge(core::TimePoint now) const;
     void applyConfig(const nlohmann::json &spec, const std::string &from);
     void checkStale(core::TimePoint now);
-    void fetch(ports::DocumentKind kind);
+    void fetch(ports::DocumentKind kind, const std::string &address);
     void applyPeerCopy(const ports::FetchResponse &copy);
 
     ports::PeerLink &m_peers;
     Hooks m_hooks;
+    policy::mirror::WatchRole m_role;
+    CopyFollower m_follower;
+    bool m_wasWatching = false;
+    // Version of the server list.
+    core::Version m_serversVersion;
+    // Time of the last response to this host's own watch of the servers.
+    core::TimePoint m_syncedAt{};
     policy::mirror::StoreEra m_era;
     ServerList m_serverList;
     StoreSync m_config;
--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -8,6 +8,10 @@
 
 constexpr adapters::logging::LogChannel log("servers:");
 
+constexpr std::size_t maxLoggedChanges = 4000;
+// Time for which a removal is reported to every host that asks; above the time between its polls.
+constexpr core::Duration removalReportTime = std::chrono::seconds(10);
+
 } // namespace
 
 void ServerList::onObject(const std::string &id, const nlohmann::json &spec, core::TimePoint now)
@@ -33,7 +37,10 @@
         log.info("outdated entry ignored id=" + id);
         return;
     }
-    latest = {startedAt, entry.sequence, spec.dump(), false};
+    auto text = spec.dump();
+    if (text != latest.text)
+        m_uncommitted.insert(id);
+    latest = {startedAt, entry.sequence, std::move(text)};
     if (entry.record.leaving)
         log.info("leaving id=" + id + " service=" + entry.record.service);
     m_backends.put(entry.record);
@@ -49,6 +56,8 @@
         return;
     m_departed.onRemoved(id, it->second.startedAt, now);
     m_latest.erase(it);
+    m_uncommitted.insert(id);
+    m_recentRemovals.push_back({id, now});
 }
 
 void ServerList::tick(core::TimePoint now)
@@ -69,22 +78,16 @@
         if (m_latest.count(it.key()) != 0)
             continue;
         onObject(it.key(), it.value(), now);
-        const auto added = m_latest.find(it.key());
-        if (added != m_latest.end())
-            added->second.fromPeer = true;
     }
     log.info("loaded from a peer entries=" + std::to_string(copy.size()));
 }
 
-void ServerList::dropPeerEntries(core::TimePoint now)
+std::vector<std::string> ServerList::ids() const
 {
-    std::vector<std::string> ids;
-    for (const auto &it : m_latest) {
-        if (it.second.fromPeer)
-            ids.push_back(it.first);
-    }
-    for (const auto &it : ids)
-        onRemoved(it, now);
+    std::vector<std::string> out;
+    for (const auto &it : m_latest)
+        out.push_back(it.first);
+    return out;
 }
 
 nlohmann::json ServerList::toJson() const
@@ -97,4 +100,74 @@
     return out;
 }
 
+void ServerList::commit(core::Version version, core::TimePoint now)
+{
+    while (!m_recentRemovals.empty()
+           && now - m_recentRemovals.front().removedAt > removalReportTime)
+        m_recentRemovals.pop_front();
+    if (m_version.revision == 0 || version.era != m_version.era) {
+        m_log.clear();
+        m_logStart = version;
+    } else {
+        for (const auto &it : m_uncommitted)
+            m_log.push_back({version, it});
+    }
+    m_uncommitted.clear();
+    m_version = version;
+    while (m_log.size() > maxLoggedChanges) {
+        m_logStart = m_log.front().version;
+        m_log.pop_front();
+    }
+}
+
+void ServerList::putChanged(const std::string &id, nlohmann::json &entries) const
+{
+    const auto it = m_latest.find(id);
+    const bool removed = it == m_latest.end() || it->second.text.empty();
+    entries[id] = removed ? nlohmann::json() : nlohmann::json::parse(it->second.text);
+}
+
+ServerList::Changes ServerList::changesSince(core::Version since, core::TimePoint now) const
+{
+    Changes changes;
+    changes.whole = since.era != m_version.era || since < m_logStart;
+    if (changes.whole) {
+        changes.entries = toJson();
+        return changes;
+    }
+    changes.entries = nlohmann::json::object();
+    for (const auto &it : m_log) {
+        if (it.version > since)
+            putChanged(it.id, changes.entries);
+    }
+    for (const auto &it : m_recentRemovals) {
+        if (now - it.removedAt <= removalReportTime && m_latest.count(it.id) == 0)
+            changes.entries[it.id] = nullptr;
+    }
+    return changes;
+}
+
+void ServerList::applyChanges(const Changes &changes, core::TimePoint now)
+{
+    if (!changes.entries.is_object())
+        return;
+    std::vector<std::string> removed;
+    if (changes.whole) {
+        for (const auto &it : m_latest) {
+            if (!changes.entries.contains(it.first))
+                removed.push_back(it.first);
+        }
+    }
+    for (const auto &it : changes.entries.items()) {
+        if (it.value().is_null()) {
+            if (m_latest.count(it.key()) != 0)
+                removed.push_back(it.key());
+            continue;
+        }
+        onObject(it.key(), it.value(), now);
+    }
+    for (const auto &it : removed)
+        onRemoved(it, now);
+}
+
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/server_list.h
+++ b/packages/daemon/forward/server_list.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "core/version.h"
 #include "platform/records.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/departed_servers.h"
 
+#include <deque>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -37,12 +40,29 @@
     // Entries that are already known are kept.
     void loadFromPeer(const nlohmann::json &copy, core::TimePoint now);
 
-    // Removes the entries from another host that the store's list did not contain.
-    void dropPeerEntries(core::TimePoint now);
+    // Returns the ids of all entries.
+    std::vector<std::string> ids() const;
 
     // Returns all entries by id, as loadFromPeer() of another host reads them.
     nlohmann::json toJson() const;
 
+    // Assigns the changes since the last call to this version of the list.
+    void commit(core::Version version, core::TimePoint now);
+
+    // Entries by id that changed between two versions; null for a removed one.
+    struct Changes
+    {
+        // `entries` holds the whole list.
+        bool whole = false;
+        nlohmann::json entries;
+    };
+    // Returns the changes after `since`: the whole list if that version is too old, of another era
+    // of the store, or 0.
+    Changes changesSince(core::Version since, core::TimePoint now) const;
+
+    // Applies the changes that another host returned.
+    void applyChanges(const Changes &changes, core::TimePoint now);
+
 private:
     // The latest entry of one id.
     struct LatestEntry
@@ -51,12 +71,33 @@
         std::int64_t sequence = 0;
         // The entry in the platform's JSON format.
         std::string text;
-        // Received from another host and not yet from the store.
-        bool fromPeer = false;
     };
 
+    // A change of the entry with this id.
+    struct LoggedChange
+    {
+        core::Version version;
+        std::string id;
+    };
+    struct Removal
+    {
+        std::string id;
+        core::TimePoint removedAt{};
+    };
+
+    void putChanged(const std::string &id, nlohmann::json &entries) const;
+
     policy::forward::BackendTable &m_backends;
     std::unordered_map<std::string, LatestEntry> m_latest;
+    // Changes that are not assigned to a version yet.
+    std::set<std::string> m_uncommitted;
+    // Changes after m_logStart, oldest first.
+    std::deque<LoggedChange> m_log;
+    core::Version m_logStart;
+    core::Version m_version;
+    // Recent removals. A removal may take effect later than others at the same version, after the
+    // grace period, so that it is reported to all for a time.
+    std::deque<Removal> m_recentRemovals;
     policy::forward::DepartedServers m_departed;
     // Entries that are held back, by server id.
     std::unordered_map<std::string, nlohmann::json> m_held;
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -10,9 +10,8 @@
 
 constexpr adapters::logging::LogChannel log("store:");
 
-// Time for which the store holds a watch without changes. It is long because store calls are
-// billed; a dead connection is detected earlier, by TCP keep-alive.
-constexpr core::Millis watchWait{25000};
+// Wait of a watch that is to return at once.
+constexpr core::Millis immediateWait{1};
 // Time-out of a call; a watch has its wait in addition.
 constexpr core::Millis responseTimeout{2000};
 
@@ -44,8 +43,9 @@
     const auto *watch = std::get_if<policy::mirror::WatchStep>(&step);
     m_timeoutAt = now + responseTimeout;
     if (watch != nullptr) {
-        request = platform::watchRequest(m_kind, watch->revision, watchWait);
-        m_timeoutAt += watchWait;
+        const auto wait = watch->immediate ? immediateWait : m_hooks.watchWait();
+        request = platform::watchRequest(m_kind, watch->revision, wait);
+        m_timeoutAt += wait;
     } else {
         request = platform::listRequest(m_kind, std::get<policy::mirror::ListStep>(step).after);
     }
@@ -100,6 +100,7 @@
         }
         m_mirror.onPage(names, reply.more, reply.revision, now);
     }
+    m_hooks.onSynced(now);
     tick(now);
 }
 
@@ -123,6 +124,12 @@
     tick(now);
 }
 
+void StoreSync::stop(TimePoint now)
+{
+    abortCall();
+    m_mirror.restart(now);
+}
+
 void StoreSync::onStoreRestored(TimePoint now)
 {
     abortCall();
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -21,6 +21,10 @@
         // Receives each listed object, and each object that was created or changed.
         std::function<void(const platform::StoreObject &, core::TimePoint now)> onObject;
         std::function<void(const std::string &name, core::TimePoint now)> onRemoved;
+        // Called after each successful response, when its objects have been delivered.
+        std::function<void(core::TimePoint now)> onSynced;
+        // Returns how long the store may hold a watch without changes.
+        std::function<core::Millis()> watchWait;
         // Compares the era of a store response with the newest one known.
         std::function<policy::mirror::EraOrder(std::optional<std::uint64_t> era)> observeEra;
         // Returns the store's address.
@@ -37,6 +41,13 @@
     // Aborts the call in flight and calls the store again, since other hosts hold a newer state.
     void restart(core::TimePoint now);
 
+    // Aborts the call in flight and makes no further ones until the next tick(), which begins with
+    // a list.
+    void stop(core::TimePoint now);
+
+    // Adds objects that the copy received in another way.
+    void addKnown(const std::vector<std::string> &names) { m_mirror.addKnown(names); }
+
     // Aborts the call in flight and lists all objects again, since the store was restored from an
     // older copy.
     void onStoreRestored(core::TimePoint now);
--- a/packages/policy/mirror/mirror.cpp
+++ b/packages/policy/mirror/mirror.cpp
@@ -24,7 +24,7 @@
     m_lastCallAt = now;
     if (m_listing)
         return ListStep{m_listAfter};
-    return WatchStep{m_revision};
+    return WatchStep{m_revision, m_consecutiveFailures > 0};
 }
 
 void Mirror::recordSuccess(TimePoint now)
@@ -116,6 +116,18 @@
     m_recoveredAt = now;
 }
 
+void Mirror::restart(TimePoint now)
+{
+    onHistoryLost(now);
+    m_listed.clear();
+    m_complete = false;
+}
+
+void Mirror::addKnown(const std::vector<std::string> &names)
+{
+    m_known.insert(names.begin(), names.end());
+}
+
 void Mirror::onFailure(std::optional<core::Duration> retryAfter, TimePoint now)
 {
     m_callInFlight = false;
--- a/packages/policy/mirror/mirror.h
+++ b/packages/policy/mirror/mirror.h
@@ -40,6 +40,9 @@
 struct WatchStep
 {
     std::uint64_t revision = 0;
+    // Returns at once, with or without changes. After a failure the store may have been restored
+    // from an older copy, which only a response shows.
+    bool immediate = false;
 };
 using Step = std::variant<ListStep, WatchStep>;
 
@@ -74,6 +77,14 @@
     // A call in flight is taken to be aborted by the caller.
     void onStoreRestored(core::TimePoint now);
 
+    // Begins anew with a list, after a time in which the copy was kept up to date in another way. A
+    // call in flight is taken to be aborted by the caller.
+    void restart(core::TimePoint now);
+
+    // Adds objects that the copy received in another way, so that those missing from the next list
+    // are removed.
+    void addKnown(const std::vector<std::string> &names);
+
     // Records a failed call, with the delay that the store asked for.
     void onFailure(std::optional<core::Duration> retryAfter, core::TimePoint now);
 
@@ -84,7 +95,7 @@
     // once.
     std::vector<std::string> takeRemovals(core::TimePoint now);
 
-    // Returns whether a complete list was read once.
+    // Returns whether a complete list was read since the start or the last restart().
     bool complete() const { return m_complete; }
     // Returns whether the last call failed.
     bool failing() const { return m_consecutiveFailures > 0; }
--- /dev/null
+++ b/packages/policy/mirror/watch_role.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/clock.h"
+#include "policy/membership/member.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace goldcrestline::policy::mirror {
+
+struct WatchRoleTimings
+{
+    // Fewest hosts of a zone for which they share watchers. In smaller zones each host watches.
+    std::size_t minSharedHosts = 7;
+    std::size_t watchersPerZone = 2;
+    // Age of the store's newest confirmation from which a follower watches the store itself. With
+    // the time to poll the followed hosts it stays below the shortest time within which a change
+    // must be in force on fleets of this size.
+    core::Duration maxConfirmationAge = std::chrono::milliseconds(2500);
+    // Time for which a host that found its confirmations too old goes on watching by itself.
+    core::Duration recoveryTime = std::chrono::seconds(5);
+};
+
+// Decides whether a host watches the store or follows hosts of its zone that do. In a large zone two
+// hosts watch, selected by rendezvous hashing, so that calls to the store do not grow with the
+// hosts. A follower watches by itself while its watchers do not confirm in time that they reach the
+// store, and until it has copies. Not thread-safe.
+class WatchRole
+{
+public:
+    explicit WatchRole(WatchRoleTimings timings) : m_timings(timings) { }
+
+    // Sets the time after the start in which the host waits for copies of other hosts before it
+    // reads the store itself.
+    void setStartupDelay(core::Duration delay) { m_startupDelay = delay; }
+
+    // Recomputes the role from the live hosts, `self` included. `hasCopies`: this host has a copy
+    // of all that others watch. Call once per membership period.
+    void update(const std::vector<membership::Member> &live, const membership::Member &self,
+                bool hasCopies, core::TimePoint now);
+
+    // Records that a followed host reported the age of its newest confirmation. Precondition:
+    // `requestedAt` is the time at which the report was requested, so that the age is never
+    // underestimated.
+    void onConfirmation(core::Duration age, core::TimePoint requestedAt);
+
+    // Returns whether this host watches the store.
+    bool watching() const { return m_watching; }
+    // Returns whether this host is one of the zone's watchers, which others follow.
+    bool followed() const { return m_followed; }
+    // Returns the peer addresses of the hosts to follow; empty if there are none.
+    const std::vector<std::string> &watchers() const { return m_watchers; }
+
+    // Returns the age of the newest confirmation by a followed host; nothing if there is none.
+    std::optional<core::Duration> confirmationAge(core::TimePoint now) const;
+
+private:
+    bool shouldWatch(bool shared, bool hasCopies, core::TimePoint now);
+
+    WatchRoleTimings m_timings;
+    core::Duration m_startupDelay{0};
+    bool m_watching = false;
+    bool m_followed = false;
+    std::vector<std::string> m_watchers;
+    core::TimePoint m_startedAt{};
+    core::TimePoint m_followingSince{};
+    core::TimePoint m_confirmedAt{};
+    // End of the recovery time after the last confirmation that was too old.
+    core::TimePoint m_recoveredAt{};
+};
+
+} // namespace goldcrestline::policy::mirror
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -65,6 +65,26 @@
     std::string text;
 };
 
+// For routes: requests the changes of the receiver's copy of the server list since a version of the
+// sender's copy, and how recent the receiver's copies are.
+struct CopyRequest
+{
+    core::Version since;
+};
+struct CopyResponse
+{
+    // Version of the receiver's server list; revision 0 if it has none.
+    core::Version version;
+    // `changes` holds all entries, instead of those that changed.
+    bool whole = false;
+    // The entries by server id, as JSON; null for a removed one. Empty if nothing changed.
+    std::string changes;
+    // Version of the receiver's configuration.
+    std::uint64_t configVersion = 0;
+    // Age of the newest proof that the receiver's copies are those of the store.
+    core::Millis confirmationAge{0};
+};
+
 // A caller's request with an idempotency key, forwarded to the host that decides on the key.
 struct RunRequest
 {
@@ -110,10 +130,10 @@
     bool adopted = false;
 };
 
-using PeerRequest =
-    std::variant<Gossip, ProbeRequest, FetchRequest, RunRequest, BorrowRequest, AdoptRequest>;
-using PeerResponse =
-    std::variant<Gossip, ProbeResponse, FetchResponse, RunResponse, BorrowResponse, AdoptResponse>;
+using PeerRequest = std::variant<Gossip, ProbeRequest, FetchRequest, RunRequest, BorrowRequest,
+                                 AdoptRequest, CopyRequest>;
+using PeerResponse = std::variant<Gossip, ProbeResponse, FetchResponse, RunResponse, BorrowResponse,
+                                  AdoptResponse, CopyResponse>;
 
 // Outcome of a call to a peer.
 enum class PeerOutcome {
--- a/tests/unit/mirror_test.cpp
+++ b/tests/unit/mirror_test.cpp
@@ -231,3 +231,14 @@
     CHECK(era.observe(6) == EraOrder::Current);
     CHECK(era.rises() == 1);
 }
+
+TEST_CASE("the first watch after a failure returns at once, so that a restore of the store is seen")
+{
+    auto mirror = makeMirror();
+    listAll(mirror, {"a"}, 20, start);
+    CHECK_FALSE(std::get<WatchStep>(*mirror.next(start)).immediate);
+    mirror.onFailure(std::nullopt, start + 1s);
+    CHECK(std::get<WatchStep>(*mirror.next(start + 2s)).immediate);
+    mirror.onWatchResponse(20, false, start + 2s);
+    CHECK_FALSE(std::get<WatchStep>(*mirror.next(start + 2s)).immediate);
+}
