Answer requests that arrive while a planned stop ends accepting

Cause: a stopping host closed its listening socket, which resets connections that the kernel has accepted, with the requests they hold, and closed connections on which a request had arrived that was not read yet. Change: pending connections are accepted first, reads that have completed are handled first, and a connection with unread bytes stays open. The host checks for open requests one period later.

--- a/packages/adapters/loop/http_server.cpp
+++ b/packages/adapters/loop/http_server.cpp
@@ -53,8 +53,6 @@
     std::array<char, readBufferBytes> buf{};
     std::optional<Parser> parser;
     std::string unparsed;
-    // Bytes of the request head that were validated.
-    std::size_t checkedBytes = 0;
     // An interim "100 Continue" response was sent for the current request.
     bool continueSent = false;
     // Rest of the response after a partial write to the socket.
@@ -130,6 +128,35 @@
         });
     }
 
+    // Accepts the connections that the kernel has established already. Closing the acceptor would
+    // reset them, with the requests that they hold.
+    void acceptPending()
+    {
+        error_code ec;
+        acceptor.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(io);
+            acceptor.accept(socket, ec);
+            if (!ec)
+                startSession(std::move(socket));
+        }
+    }
+
+    // Closes the connections on which no request has arrived.
+    void closeIdle()
+    {
+        std::vector<SessionPtr> idle;
+        for (const auto &it : sessions) {
+            error_code ec;
+            const bool unread = it->state == SessionState::Idle && it->socket.available(ec) > 0;
+            if (!unread
+                && (it->state == SessionState::Idle || it->state == SessionState::Lingering))
+                idle.push_back(it);
+        }
+        for (const auto &it : idle)
+            close(it);
+    }
+
     void startSession(tcp::socket socket)
     {
         error_code ec;
@@ -216,7 +243,6 @@
         session.parser->eager(true);
         session.parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         session.parser->body_limit(limits.maxBodyBytes);
-        session.checkedBytes = 0;
         session.continueSent = false;
     }
 
@@ -426,15 +452,11 @@
 
 void HttpServer::stopAccepting()
 {
+    m_impl->acceptPending();
     error_code ec;
     m_impl->acceptor.close(ec);
-    std::vector<SessionPtr> idle;
-    for (const auto &it : m_impl->sessions) {
-        if (it->state == SessionState::Idle || it->state == SessionState::Lingering)
-            idle.push_back(it);
-    }
-    for (const auto &it : idle)
-        m_impl->close(it);
+    // Reads that have completed are handled first.
+    asio::post(m_impl->io, [this] { m_impl->closeIdle(); });
 }
 
 std::size_t HttpServer::activeConnections() const
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -226,12 +226,18 @@
     const auto id = ++m_impl->lastId;
     if (!isSentAsDatagram(request))
         return m_impl->sendOverHttp(address, id, request, timeout, std::move(done));
-    m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done)};
-    if (const auto to = loop::parseEndpoint<udp>(address)) {
-        const auto bytes = encode(id, request);
-        m_impl->count(request, bytes.size());
-        m_impl->send(bytes, *to);
+    const auto to = loop::parseEndpoint<udp>(address);
+    if (!to) {
+        log.warning("malformed peer address address=" + address);
+        asio::post(m_impl->socket.get_executor(), [done = std::move(done)] {
+            done({PeerOutcome::NotReached, {}});
+        });
+        return;
     }
+    m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done)};
+    const auto bytes = encode(id, request);
+    m_impl->count(request, bytes.size());
+    m_impl->send(bytes, *to);
 }
 
 void LoopPeerLink::tick(TimePoint now)
--- a/packages/daemon/engine/document_sync.cpp
+++ b/packages/daemon/engine/document_sync.cpp
@@ -35,7 +35,9 @@
     const auto ownWeight = core::rendezvousWeight(self.name, "watchers");
     const auto hosts = m_host.members.live();
     const auto higherRanked = std::count_if(hosts.begin(), hosts.end(), [&](const auto &it) {
-        return !it.leaving && core::rendezvousWeight(it.name, "watchers") > ownWeight;
+        // A suspect host may be dead and must not keep others from watching.
+        return !it.leaving && it.state == policy::membership::MemberState::Alive
+            && core::rendezvousWeight(it.name, "watchers") > ownWeight;
     });
     return higherRanked < m_host.settings->platform.watchers.value;
 }
@@ -74,7 +76,6 @@
         return;
     }
     watch.backoff = {};
-    m_lastPlatformResponseAt = now;
     const auto &stored = object.value();
     const bool isLists = watch.kind == DocumentKind::Lists;
     if (stored.exists()) {
--- a/packages/daemon/engine/document_sync.h
+++ b/packages/daemon/engine/document_sync.h
@@ -37,9 +37,6 @@
     // Whether this host is one of the watchers of the platform.
     bool watching() const { return m_watching; }
 
-    // Time of the platform's last successful response, for reports.
-    core::TimePoint lastPlatformResponseAt() const { return m_lastPlatformResponseAt; }
-
 private:
     struct Watch
     {
@@ -71,7 +68,6 @@
     bool m_watching = false;
     bool m_fetchingLists = false;
     bool m_fetchingFleet = false;
-    core::TimePoint m_lastPlatformResponseAt{};
 };
 
 } // namespace goldcrestline::daemon::engine
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -425,7 +425,8 @@
             return;
         if (!m_acceptStopped) {
             m_acceptStopped = true;
-            m_callers.stopAccepting();
+            // Requests that have just arrived are read before the next check.
+            return m_callers.stopAccepting();
         }
         if (m_callers.activeConnections() == 0 || now >= m_exitAt) {
             if (m_callers.activeConnections() != 0)
--- a/packages/policy/mirror/watch_role.h
+++ b/packages/policy/mirror/watch_role.h
@@ -22,8 +22,8 @@
     core::Duration recoveryTime = std::chrono::seconds(5);
 };
 
-// Decides whether a host watches the store or follows hosts of its zone that do. In a large zone two
-// hosts watch, selected by rendezvous hashing, so that calls to the store do not grow with the
+// Decides whether a host watches the store or follows hosts of its zone that do. In a large zone
+// two hosts watch, selected by rendezvous hashing, so that calls to the store do not grow with the
 // hosts. A follower watches by itself while its watchers do not confirm in time that they reach the
 // store, and until it has copies. Not thread-safe.
 class WatchRole
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -212,6 +212,28 @@
     's/    m_completeAt = now \+ reconciliationTime;\n/    return;\n/' \
     process_tests "a claim whose record was lost by a restore of the store does not run again"
 
+mutant backlog-reset packages/adapters/loop/http_server.cpp \
+    's/    m_impl->acceptPending\(\);\n//' \
+    unit_tests "requests that have arrived when the server stops accepting are answered"
+mutant arrived-closed packages/adapters/loop/http_server.cpp \
+    's/it->socket.available\(ec\) > 0/false/' \
+    unit_tests "requests that have arrived when the server stops accepting are answered"
+mutant restore-hidden $policy/mirror/mirror.cpp \
+    's/return WatchStep\{m_revision, m_consecutiveFailures > 0\};/return WatchStep{m_revision, false};/' \
+    process_tests "after a restore of the store hosts follow it again and nothing that left returns"
+mutant spreads-compared $policy/membership/member_table.cpp \
+    's/fromComparison \? notSpread : 0/0/' \
+    unit_tests "a joint start of a large fleet sends each record to each host about once"
+mutant zone-loss-late $policy/membership/member_table.cpp \
+    's/if \(it->member.state == MemberState::Alive && \+\+aliveCount/if (++aliveCount/' \
+    unit_tests "the loss of a zone is detected as early as if hosts probed all zones alike"
+mutant trusts-watchers $policy/mirror/watch_role.cpp \
+    's/if \(now - confirmedAt > m_timings.maxConfirmationAge\)/if (false)/' \
+    unit_tests "a follower watches by itself while its watchers do not confirm that they reach the store"
+mutant forgets-removals packages/daemon/forward/server_list.cpp \
+    's/    m_uncommitted.insert\(id\);\n    m_recentRemovals.push_back\(\{id, now\}\);\n//' \
+    unit_tests "a follower of changing watchers holds the list of the newest one"
+
 ninja -C "$build" >/dev/null 2>&1
 echo "$survived mutants survived"
 [ "$survived" -eq 0 ]
--- a/tests/unit/loop_test.cpp
+++ b/tests/unit/loop_test.cpp
@@ -359,6 +359,29 @@
     CHECK(contains(response, "whole"));
 }
 
+TEST_CASE("requests that have arrived when the server stops accepting are answered")
+{
+    ServerFixture fixture;
+    auto known = fixture.connect();
+    CHECK(contains(fixture.sendAndRead(known, head + "\r\n",
+                                       [](const std::string &it) { return contains(it, "/a"); }),
+                   "200"));
+    // Neither the second request of a known connection nor the new connection has been seen yet.
+    asio::write(known, asio::buffer(head + "\r\n"));
+    auto fresh = fixture.connect();
+    asio::write(fresh, asio::buffer(head + "\r\n"));
+    auto halfRead = fixture.connect();
+    asio::write(halfRead, asio::buffer(head));
+    fixture.server.disableKeepAlive();
+    fixture.server.stopAccepting();
+    const auto answered = [](const std::string &it) { return contains(it, "200"); };
+    for (auto *it : {&known, &fresh})
+        CHECK(contains(fixture.sendAndRead(*it, "", answered), "200"));
+    CHECK(fixture.server.activeConnections() == 1);
+    CHECK(contains(fixture.sendAndRead(halfRead, "\r\n", answered), "200"));
+    CHECK(fixture.server.activeConnections() == 0);
+}
+
 TEST_CASE("corrupted requests never reach the handler partially read and do not stop the server")
 {
     std::mt19937 random(20261204);
--- a/tests/unit/watch_role_test.cpp
+++ b/tests/unit/watch_role_test.cpp
@@ -82,7 +82,8 @@
     CHECK(role.watching() == !knowsOthers);
 }
 
-TEST_CASE("a follower watches by itself while its watchers do not confirm that they reach the store")
+TEST_CASE(
+    "a follower watches by itself while its watchers do not confirm that they reach the store")
 {
     const auto hosts = makeHosts(10);
     const auto self = followerOf(hosts);
