Pack messages between hosts, and follow watchers before the first configuration

Change: messages are packed by Cap'n Proto; the unpacked size is bounded by the packed one, so that a malformed datagram cannot claim a large message. A host with a server list follows. At the first start a host waits 2.5 s for others.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -3,8 +3,8 @@
 #include "adapters/peers/generated/peer.capnp.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <cstring>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
 
 namespace goldcrestline::adapters::peers {
 
@@ -13,6 +13,11 @@
 
 namespace {
 
+// Bound on the unpacked size of a message, which a malformed one could claim to be far larger. The
+// ledger of a stopping host exceeds the library's default limit.
+constexpr std::uint64_t minTraversalWords = 1024;
+constexpr std::uint64_t maxWordsPerByte = 2;
+
 capnp::Data::Reader asData(const std::string &text)
 {
     return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
@@ -327,10 +332,12 @@
     KJ_FAIL_REQUIRE("unknown message type");
 }
 
+// Messages are packed: most of their numbers are small, and bytes between zones are billed.
 std::string toBytes(capnp::MessageBuilder &message)
 {
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
@@ -356,14 +363,12 @@
 
 std::optional<DecodedMessage> decode(std::string_view bytes)
 {
-    // Copied, because Cap'n Proto requires word alignment.
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.asBytes().begin(), bytes.data(), words.asBytes().size());
     try {
+        kj::ArrayInputStream in({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
         capnp::ReaderOptions options;
-        // The ledger of a stopping host may exceed the library's default limit.
-        options.traversalLimitInWords = std::max<std::uint64_t>(1024, 4 * words.size());
-        capnp::FlatArrayMessageReader message(words, options);
+        options.traversalLimitInWords = std::max<std::uint64_t>(
+            minTraversalWords, maxWordsPerByte * static_cast<std::uint64_t>(bytes.size()));
+        capnp::PackedMessageReader message(in, options);
         const auto root = message.getRoot<wire::Message>();
         return DecodedMessage{root.getId(), readContent(root)};
     } catch (const kj::Exception &) {
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -50,7 +50,7 @@
 constexpr core::Millis settingsCheckPeriod{2000};
 // Time in which a host that starts waits for copies of other hosts, at the first start of the
 // deployment and later: callers wait for it then.
-constexpr core::Millis firstStartDelay{1500};
+constexpr core::Millis firstStartDelay{2500};
 constexpr core::Millis startupDelay{150};
 constexpr core::Millis trafficLogPeriod{10000};
 constexpr std::string_view metricsPath = "/v1/metrics";
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -98,7 +98,8 @@
 void PlatformCopy::updateRole(const std::vector<policy::membership::Member> &live,
                               const policy::membership::Member &self, TimePoint now)
 {
-    m_role.update(live, self, m_table != nullptr && serversKnown(), now);
+    // Before the operator writes the first configuration, the server list is all there is.
+    m_role.update(live, self, serversKnown(), now);
     if (m_role.watching() == m_wasWatching)
         return;
     m_wasWatching = m_role.watching();
