Add a fault soak over real processes

Runs five daemons with stand-ins of the store and of the servers, a loopback proxy before each host's callers and before its store, and injects faults from outside, in overlapping series: kills, freezes, planned stops, reloads, links that delay, reset, are silent or cut one way, the store away, slow, losing answers or history, restored from an older copy, servers that hang, lose, garble, refuse, ask for rest, leave and restart, and configurations in between. While it runs it checks that answers belong to their request, state their parts truly, claims run at most once, refusals did not run, no configuration goes back and nothing is cut without a fault of the host; at the end that everything is served within 12 s and that a draining server gets nothing.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,12 @@
 mutants: build
 	tests/mutants/run.sh
 
-.PHONY: setup build demo test bench mutants format format-check lint generate install
+# Fault soak with fresh seeds; SOAK_SEED=N plays one seed again.
+soak: build
+	$(BUILD)/tests/soak --runs $(or $(SOAK_RUNS),5) --seconds $(or $(SOAK_SECONDS),30) \
+		$(if $(SOAK_SEED),--seed $(SOAK_SEED) --runs 1)
+
+.PHONY: setup build demo test bench soak mutants format format-check lint generate install
 
 setup:
 	@missing=""; for it in $(PACKAGES); do \
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -48,7 +48,9 @@
               {"idle_timeout_ms", 15000}}}};
 }
 
-RoutedCluster::RoutedCluster(int hosts, int zoneCount)
+RoutedCluster::RoutedCluster(
+    int hosts, int zoneCount,
+    std::function<std::string(std::size_t host, const std::string &store)> storeAddress)
 {
     m_platform = std::make_unique<Process>(
         std::vector<std::string>{programPath("tests/standins"), "--platform"});
@@ -73,7 +75,8 @@
         m_hosts.push_back(std::move(host));
     }
     for (std::size_t i = 0; i < count; ++i) {
-        writeFile(m_hosts[i].settingsPath, settingsFor(m_hosts[i]));
+        const auto address = storeAddress ? storeAddress(i, m_platformAddress) : m_platformAddress;
+        writeFile(m_hosts[i].settingsPath, settingsFor(m_hosts[i], address));
         start(i);
     }
     const bool serving = eventually([&] {
@@ -88,13 +91,14 @@
                                  + m_hosts[0].process->output());
 }
 
-std::string RoutedCluster::settingsFor(const RoutedHost &host) const
+std::string RoutedCluster::settingsFor(const RoutedHost &host,
+                                       const std::string &storeAddress) const
 {
     return "[host]\nname = \"" + host.name + "\"\nzone = \"" + host.zone
         + "\"\nserves = \"routes\"\n[listen]\ncallers = \"" + host.callers + "\"\ncontrol = \""
         + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
         + host.readiness + "\"\npeers = \"" + host.peers + "\"\nmetrics = \"" + host.metrics
-        + "\"\n[platform]\naddress = \"" + m_platformAddress
+        + "\"\n[platform]\naddress = \"" + storeAddress
         + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
 }
 
@@ -163,6 +167,11 @@
         throw std::runtime_error("POST /admin/set failed on the platform stand-in");
 }
 
+void RoutedCluster::publishBackends() const
+{
+    setBackends({{"publish", true}});
+}
+
 void RoutedCluster::setBackends(const json &changes) const
 {
     if (post(m_farmAddress + "/admin/set", changes.dump()).status != 200)
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -2,6 +2,8 @@
 
 #include "cluster.h"
 
+#include <functional>
+
 namespace harness {
 
 // Hosts that forward requests by the routes of the platform's configuration, with stand-ins of the
@@ -26,7 +28,11 @@
 
     // Starts all processes, with the hosts in up to three zones, and waits until every host is
     // ready and knows all others. Throws std::runtime_error if one does not.
-    explicit RoutedCluster(int hosts = 3, int zoneCount = 3);
+    // `storeAddress` returns the address at which a host reaches the platform's store; by default
+    // the store's own.
+    explicit RoutedCluster(
+        int hosts = 3, int zoneCount = 3,
+        std::function<std::string(std::size_t host, const std::string &store)> storeAddress = {});
 
     // Returns a configuration with this version and four routes: "/all/" fans out to three shards,
     // "/one/" is an idempotent and "/claim/" a non-idempotent route to one service, and "/split/"
@@ -55,6 +61,8 @@
 
     // Sets the injected faults of the platform.
     void setPlatform(const json &faults) const;
+    // Writes the entries of all servers to the store again, as their heartbeats do.
+    void publishBackends() const;
     // Changes "mode", "work_ms" or "state" of the servers selected by {"service": S} or {"id": I}.
     void setBackends(const json &changes) const;
     // Returns whether the platform's store holds an object of this kind and name.
@@ -70,7 +78,7 @@
     std::size_t size() const { return m_hosts.size(); }
 
 private:
-    std::string settingsFor(const RoutedHost &host) const;
+    std::string settingsFor(const RoutedHost &host, const std::string &storeAddress) const;
 
     std::unique_ptr<Process> m_platform;
     std::unique_ptr<Process> m_farm;
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,397 @@
+#include "checks.h"
+#include "fault_proxy.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <functional>
+#include <iostream>
+#include <random>
+
+// Fault soak: runs the real daemon with stand-ins of the store and of the servers, injects faults
+// from outside, in overlapping series, and checks the promises that callers and servers can see.
+// Prints each violation with the seed that plays the run again, and exits with 1 if there is any.
+
+using namespace harness;
+using namespace soak;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int hostCount = 5;
+constexpr int callersPerHost = 2;
+// Time after the last fault within which everything must be served again.
+constexpr double recoverySeconds = 12;
+// Time within which a draining server gets no new requests.
+constexpr auto drainTime = std::chrono::seconds(3);
+constexpr double gracefulStopSeconds = 6;
+
+const std::vector<std::string> services{"shard0", "shard1", "shard2", "single", "left", "right"};
+
+class Soak
+{
+public:
+    explicit Soak(unsigned seed)
+        : m_random(seed), m_disturbances(hostCount),
+          m_cluster(hostCount, 2, [this](std::size_t, const std::string &store) {
+              m_storeProxies.push_back(std::make_unique<FaultProxy>(0, store));
+              return m_storeProxies.back()->address();
+          })
+    {
+        for (std::size_t n = 0; n < m_cluster.size(); ++n) {
+            m_callerProxies.push_back(
+                std::make_unique<FaultProxy>(0, m_cluster.host(n).callers));
+            for (int i = 0; i < callersPerHost; ++i) {
+                const auto name = "h" + std::to_string(n) + "c" + std::to_string(i);
+                m_loads.push_back(std::make_unique<CallerLoad>(
+                    m_callerProxies[n]->address(), name, seed + static_cast<unsigned>(m_loads.size()),
+                    m_disturbances[n], m_violations));
+            }
+        }
+    }
+
+    // Injects faults for the time and checks everything. Returns the violations.
+    std::vector<std::string> run(std::chrono::seconds length)
+    {
+        {
+            VersionMonitor monitor(m_cluster, m_disturbances, m_violations);
+            const auto end = Clock::now() + length;
+            while (Clock::now() < end) {
+                injectFault();
+                pause(50, 600);
+                endFaults(Clock::now());
+            }
+            endFaults(Clock::time_point::max());
+            recover();
+        }
+        for (const auto &it : m_loads)
+            it->finish();
+        checkDraining();
+        const auto runs = m_cluster.runs();
+        int answered = 0;
+        for (const auto &it : m_loads) {
+            checkClaims(it->claims(), runs, m_violations);
+            answered += it->answered();
+        }
+        if (answered == 0)
+            m_violations.add("nothing was answered");
+        std::cout << "answered " << answered << ", faults " << m_faults << '\n';
+        return m_violations.all();
+    }
+
+private:
+    struct RunningFault
+    {
+        Clock::time_point endAt;
+        std::function<void()> end;
+    };
+
+    int below(int n) { return std::uniform_int_distribution<int>(0, n - 1)(m_random); }
+
+    void pause(int minMs, int maxMs)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(minMs + below(maxMs - minMs)));
+    }
+
+    void endLater(int minMs, int maxMs, std::function<void()> end)
+    {
+        const auto at = Clock::now() + std::chrono::milliseconds(minMs + below(maxMs - minMs));
+        m_running.push_back({at, std::move(end)});
+    }
+
+    void endFaults(Clock::time_point until)
+    {
+        auto running = std::exchange(m_running, {});
+        for (auto &it : running) {
+            if (it.endAt > until)
+                m_running.push_back(std::move(it));
+            else
+                it.end();
+        }
+    }
+
+    // Marks host `n` as disturbed until the returned function is called.
+    std::function<void()> disturb(std::size_t n)
+    {
+        ++m_disturbances[n].active;
+        ++m_disturbances[n].count;
+        return [this, n] { --m_disturbances[n].active; };
+    }
+
+    void injectFault()
+    {
+        ++m_faults;
+        const auto n = static_cast<std::size_t>(below(hostCount));
+        switch (below(11)) {
+        case 0:
+            return kill(n);
+        case 1:
+            return freeze(n);
+        case 2:
+            return stopGracefully(n);
+        case 3:
+            return m_cluster.host(n).process->signal(SIGHUP);
+        case 4:
+            return disturbLink(*m_callerProxies[n], disturb(n));
+        case 5:
+        case 6:
+            return disturbLink(*m_storeProxies[n], [] {});
+        case 7:
+            return disturbStore();
+        case 8:
+            return changeConfiguration();
+        default:
+            return disturbServers();
+        }
+    }
+
+    void restart(std::size_t n)
+    {
+        m_cluster.host(n).process->wait();
+        ++m_disturbances[n].lifetime;
+        m_cluster.start(n);
+    }
+
+    void kill(std::size_t n)
+    {
+        const auto done = disturb(n);
+        m_cluster.host(n).process->signal(SIGKILL);
+        restart(n);
+        pause(1, 50);
+        done();
+    }
+
+    void freeze(std::size_t n)
+    {
+        const auto done = disturb(n);
+        m_cluster.host(n).process->signal(SIGSTOP);
+        endLater(300, 4000, [this, n, done] {
+            m_cluster.host(n).process->signal(SIGCONT);
+            // Callers that gave up during the pause have closed their connections.
+            pause(50, 100);
+            done();
+        });
+    }
+
+    // A planned stop cuts no request, so that the host does not count as disturbed before its exit.
+    void stopGracefully(std::size_t n)
+    {
+        m_cluster.host(n).process->signal(SIGCONT);
+        m_cluster.host(n).process->signal(SIGTERM);
+        const int exitCode = m_cluster.host(n).process->wait(gracefulStopSeconds);
+        const auto done = disturb(n);
+        if (exitCode != 0)
+            m_violations.add("planned stop ended with " + std::to_string(exitCode));
+        restart(n);
+        done();
+    }
+
+    void disturbLink(FaultProxy &proxy, std::function<void()> done)
+    {
+        const int kind = below(5);
+        if (kind == 0) {
+            proxy.setDelay(20 + below(200));
+        } else if (kind == 1) {
+            proxy.resetAll();
+        } else {
+            proxy.setMode(kind == 2       ? ProxyMode::Silent
+                              : kind == 3 ? ProxyMode::DropRequests
+                                          : ProxyMode::DropResponses);
+        }
+        endLater(300, 3000, [&proxy, done = std::move(done)] {
+            proxy.setDelay(0);
+            proxy.setMode(ProxyMode::Pass);
+            // Connections that lost bytes stay silent for good.
+            done();
+        });
+    }
+
+    void disturbStore()
+    {
+        switch (below(6)) {
+        case 0:
+            m_cluster.setPlatform({{"mode", "refuse"}});
+            break;
+        case 1:
+            m_cluster.setPlatform({{"mode", "hang"}});
+            break;
+        case 2:
+            m_cluster.setPlatform({{"slow_ms", 50 + below(300)}});
+            break;
+        case 3:
+            m_cluster.setPlatform({{"lose_share", 0.3}});
+            break;
+        case 4:
+            m_cluster.setPlatform({{"forget", true}});
+            break;
+        default:
+            return restoreStore();
+        }
+        endLater(300, 3000, [this] { healStore(); });
+    }
+
+    void healStore() { m_cluster.setPlatform({{"mode", "up"}, {"slow_ms", 0}, {"lose_share", 0}}); }
+
+    // The store comes back from a copy that lacks the changes of the following moments.
+    void restoreStore()
+    {
+        healStore();
+        m_cluster.setPlatform({{"copy", true}});
+        changeConfiguration();
+        pause(100, 800);
+        healStore();
+        m_cluster.setPlatform({{"restore", true}, {"further_revisions", below(100)}});
+        m_cluster.publishBackends();
+        writeConfiguration();
+    }
+
+    void changeConfiguration()
+    {
+        m_version += 1 + static_cast<std::uint64_t>(below(5));
+        m_service = below(2) == 0 ? "single" : "left";
+        writeConfiguration();
+    }
+
+    void writeConfiguration()
+    {
+        auto next = RoutedCluster::configuration(m_version);
+        next["routes"][1]["service"] = m_service;
+        try {
+            m_cluster.applyConfiguration(next);
+        } catch (const std::runtime_error &) {
+            // The store is away; it is written again at the end.
+        }
+    }
+
+    void disturbServers()
+    {
+        const auto service = services[static_cast<std::size_t>(below(static_cast<int>(services.size())))];
+        const auto id = "i-" + service + "-" + std::to_string(below(3));
+        const int kind = below(9);
+        static const std::vector<std::string> modes{"hang", "lose", "garble",
+                                                    "fail", "shed", "late-shed"};
+        try {
+            if (kind < 6) {
+                m_cluster.setBackends(
+                    {{"id", id}, {"mode", modes[static_cast<std::size_t>(kind)]}});
+            } else if (kind == 6) {
+                m_cluster.setBackends({{"id", id}, {"rest_s", 0.5 + below(10) / 10.0}});
+            } else if (kind == 7) {
+                m_cluster.setBackends({{"id", id}, {"says_leaving", true}});
+            } else {
+                m_cluster.setBackends({{"id", id}, {"state", below(2) == 0 ? "draining" : "gone"}});
+            }
+        } catch (const std::runtime_error &) {
+            // The store refused the entry; the server's state has changed all the same.
+        }
+        endLater(300, 3000, [this, id] { restartServer(id); });
+    }
+
+    void restartServer(const std::string &id)
+    {
+        try {
+            m_cluster.setBackends({{"id", id}, {"mode", "up"}, {"rest_s", 0}, {"restart", true}});
+        } catch (const std::runtime_error &) {
+            // Published again at the end.
+        }
+    }
+
+    bool serves(std::size_t n)
+    {
+        const auto id = "end-" + std::to_string(n) + "-" + std::to_string(m_probes++);
+        const auto merged = m_cluster.sendRequest(n, "/all/" + id, id);
+        const auto one = m_cluster.sendRequest(n, "/one/" + id, id + "o");
+        return merged.status == 200 && merged.headers.at("x-missing-parts") == "0"
+            && one.status == 200 && one.body.ends_with("by " + m_service);
+    }
+
+    void recover()
+    {
+        for (std::size_t n = 0; n < m_cluster.size(); ++n)
+            m_cluster.host(n).process->signal(SIGCONT);
+        healStore();
+        m_cluster.publishBackends();
+        ++m_version;
+        writeConfiguration();
+        const bool recovered = eventually(
+            [this] {
+                for (std::size_t n = 0; n < m_cluster.size(); ++n) {
+                    if (!m_cluster.ready(n) || !serves(n)
+                        || m_cluster.metric(n, "members") != hostCount
+                        || m_cluster.metric(n, "configuration_version")
+                            != static_cast<double>(m_version))
+                        return false;
+                }
+                return true;
+            },
+            recoverySeconds);
+        if (!recovered) {
+            m_violations.add("not served again in time; output of the hosts follows");
+            for (std::size_t n = 0; n < m_cluster.size(); ++n) {
+                const auto output = m_cluster.host(n).process->output();
+                constexpr std::size_t shown = 3000;
+                std::cout << "host " << n << ":\n"
+                          << output.substr(output.size() - std::min(output.size(), shown)) << '\n';
+            }
+        }
+    }
+
+    void checkDraining()
+    {
+        const std::string id = "i-" + m_service + "-1";
+        m_cluster.setBackends({{"id", id}, {"state", "draining"}});
+        std::this_thread::sleep_for(drainTime);
+        const auto before = m_cluster.runs().at(id).at("arrivals");
+        for (std::size_t n = 0; n < m_cluster.size(); ++n) {
+            for (int i = 0; i < 10; ++i)
+                m_cluster.sendRequest(n, "/one/x", "drain" + std::to_string(i));
+        }
+        if (m_cluster.runs().at(id).at("arrivals") != before)
+            m_violations.add("a draining server got requests after its time");
+    }
+
+    std::mt19937 m_random;
+    Violations m_violations;
+    std::vector<HostDisturbance> m_disturbances;
+    std::vector<std::unique_ptr<FaultProxy>> m_storeProxies;
+    RoutedCluster m_cluster;
+    std::vector<std::unique_ptr<FaultProxy>> m_callerProxies;
+    std::vector<std::unique_ptr<CallerLoad>> m_loads;
+    std::vector<RunningFault> m_running;
+    std::uint64_t m_version = 1;
+    std::string m_service = "single";
+    int m_faults = 0;
+    int m_probes = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    cxxopts::Options options("soak", "Injects faults into running hosts and checks their promises.");
+    options.add_options()("seed", "seed of the first run; 0 takes a fresh one",
+                          cxxopts::value<unsigned>()->default_value("0"))(
+        "runs", "number of runs", cxxopts::value<int>()->default_value("1"))(
+        "seconds", "length of the faults of a run", cxxopts::value<int>()->default_value("20"));
+    int failed = 0;
+    try {
+        const auto parsed = options.parse(argc, argv);
+        auto seed = parsed["seed"].as<unsigned>();
+        if (seed == 0)
+            seed = std::random_device{}() % 1000000 + 1;
+        for (int run = 0; run < parsed["runs"].as<int>(); ++run, ++seed) {
+            std::cout << "seed " << seed << ": " << std::flush;
+            const auto violations = Soak(seed).run(std::chrono::seconds(parsed["seconds"].as<int>()));
+            for (const auto &it : violations)
+                std::cout << "VIOLATION seed=" << seed << ": " << it << '\n';
+            failed += violations.empty() ? 0 : 1;
+        }
+    } catch (const std::exception &e) {
+        std::cerr << "soak: " << e.what() << '\n';
+        return 1;
+    }
+    std::cout << failed << " runs with violations\n";
+    return failed == 0 ? 0 : 1;
+}
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -93,7 +93,7 @@
         {"state", backend.state},
         {"warmup_left_ms", 0},
         {"sequence", ++backend.sequence},
-        {"born", 1700000000000}};
+        {"born", backend.startedAt}};
     const json object{{"meta", {{"name", backend.id}}}, {"spec", spec}};
     auto status = writeToStore(http::verb::put, kind + "/" + backend.id, object);
     if (status == 404)
@@ -183,10 +183,15 @@
         it->workMs = body.value("work_ms", it->workMs);
         it->saysLeaving = body.value("says_leaving", it->saysLeaving);
         it->restSeconds = body.value("rest_s", it->restSeconds);
-        if (body.contains("state")) {
-            it->state = body.at("state").get<std::string>();
-            publish(*it);
+        if (body.value("restart", false)) {
+            ++it->startedAt;
+            it->sequence = 0;
+            it->saysLeaving = false;
+            it->state = "ready";
         }
+        it->state = body.value("state", it->state);
+        if (body.contains("state") || body.value("restart", false) || body.value("publish", false))
+            publish(*it);
     }
     co_return makeResponse(200);
 }
--- a/tests/standins/backend_farm.h
+++ b/tests/standins/backend_farm.h
@@ -31,6 +31,8 @@
         std::string zone;
         double workMs = 5;
         int sequence = 0;
+        // Start time of the process; a restart raises it.
+        std::int64_t startedAt = 1700000000000;
         std::string state = "ready";
         // "up", "shed" (rejects without execution), or a fault after the execution has begun:
         // "hang" (no response), "lose" (closes the connection), "garble" (truncated response),
