--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -18,11 +18,11 @@
 // Time for a newer version that a peer reported to arrive through this host's own watch, before it
 // is fetched from the peer.
 constexpr core::Millis watchDelayLimit{400};
-// The same for a newer server list. Above the time by which hosts delay their watches after
-// changes.
-constexpr core::Millis serversDelayLimit{1000};
-// The same for a follower, which learns it by its polls.
+// The same on a follower, which learns it by its polls.
 constexpr core::Millis followDelayLimit{1500};
+// Time for the server list of a newer revision that a peer reported to arrive through this host's
+// own watch, before the servers are watched anew. Above the delay of a watch after changes.
+constexpr core::Millis serversDelayLimit{1000};
 constexpr core::Millis fetchTimeout{1000};
 // Time for which the store holds a watch without changes. It is long because store calls are
 // billed; a dead connection is detected earlier, by TCP keep-alive.
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -66,6 +66,10 @@
     std::mt19937 random(seed);
     HttpClient client;
     for (int n = 0; !m_stop; ++n) {
+        if (m_disturbance.unlisted) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            continue;
+        }
         const auto id = m_name + "-" + std::to_string(n);
         switch (random() % 4) {
         case 0:
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -30,6 +30,9 @@
     // Raised with each fault of the host or of its links, and while one lasts.
     std::atomic<int> active{0};
     std::atomic<std::uint64_t> count{0};
+    // The host has left the directory for longer than callers keep its address: they send it
+    // nothing more.
+    std::atomic<bool> unlisted{false};
     // Raised with each start of the process.
     std::atomic<std::uint64_t> lifetime{0};
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -26,6 +26,9 @@
 // Time within which a draining server gets no new requests.
 constexpr auto drainTime = std::chrono::seconds(3);
 constexpr double gracefulStopSeconds = 6;
+// Shorter than three times the time for which callers keep addresses, after which a stopping host
+// ends when no request is open.
+constexpr auto addressKeepTime = std::chrono::milliseconds(2800);
 
 const std::vector<std::string> services{"shard0", "shard1", "shard2", "single", "left", "right"};
 
@@ -180,12 +183,15 @@
     {
         m_cluster.host(n).process->signal(SIGCONT);
         m_cluster.host(n).process->signal(SIGTERM);
+        std::this_thread::sleep_for(addressKeepTime);
+        m_disturbances[n].unlisted = true;
         const int exitCode = m_cluster.host(n).process->wait(gracefulStopSeconds);
         const auto done = disturb(n);
         m_stopLogs.push_back(lastLines(m_cluster.host(n).process->output()));
         if (exitCode != 0)
             m_violations.add("planned stop ended with " + std::to_string(exitCode));
         restart(n);
+        m_disturbances[n].unlisted = false;
         done();
     }
 
