--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -57,7 +57,7 @@
     's/m_latestTime = std::max\(m_latestTime, now\);/m_latestTime = now;/g' \
     unit_tests "a clock that is set back does not make an expired key valid again"
 mutant lists-revert $policy/config/document.h \
-    's/revision <= m_revision/revision == m_revision/' \
+    's/version <= m_version/version == m_version/' \
     unit_tests "the revision of a document never decreases"
 mutant drain-ignored $policy/routing/server_table.cpp \
     's/noteLeaving\(\{id, server.record.startedAt\}\);//' \
@@ -75,7 +75,7 @@
     's/fail\(connection, ExchangeOutcome::Broken\);\n    \}\n\n    \/\/ Completes the exchange/fail(connection, ExchangeOutcome::NotReached);\n    }\n\n    \/\/ Completes the exchange/' \
     process_tests "claims are executed at most once while responses of servers are lost"
 mutant serves-stale $engine/host_state.h \
-    's/return listsDocument.revision\(\) < highestListsRevision\s*\|\| !freshness.mayServe\(members.knownCount\(\), now\);/(void)now; return false;/' \
+    's/return listsDocument.version\(\) < highestListsVersion\s*\|\| !freshness.mayServe\(members.knownCount\(\), now\);/(void)now; return false;/' \
     process_tests "a host resumed after a freeze rejects work until it has the newest lists"
 mutant hasty-stop $engine/shutdown_sequence.cpp \
     's/now \+ leavingPropagationTime \+ entryPointTtl/now/' \
@@ -123,7 +123,7 @@
     's/if \(m_table && table.value\(\)->version\(\) <= m_table->version\(\)\)/if (false)/' \
     process_tests "an accepted configuration is in force on every host and stays in force without the store"
 mutant no-peer-copy packages/daemon/forward/platform_copy.cpp \
-    's/    fetch\(DocumentKind::Lists\);\n//' \
+    's/    fetch\(DocumentKind::Lists, m_highestVersionHost\);\n//' \
     process_tests "an accepted configuration is in force on every host and stays in force without the store"
 mutant promise-passed-on packages/daemon/forward/forward_service.cpp \
     's/if \(platform::guaranteesNotExecuted\(running.response.status\)\)/if (false)/' \
@@ -147,10 +147,10 @@
     's/std::min\(2 \* m_batchDelay, m_times.maxBatchDelay\)/m_times.initialBatchDelay/' \
     unit_tests "a burst of changes takes few calls, and a change after a quiet period is fetched soon"
 mutant always-whole $policy/membership/member_table.cpp \
-    's/reachable\(m_self\) \? hashOf\(m_self\) : 0;/reinterpret_cast<std::uintptr_t>(this);/' \
-    unit_tests "hosts with equal tables exchange no full tables"
+    's/reachable\(m_self\) \? recordHash\(m_self, m_self.leaving\) : 0;/reinterpret_cast<std::uintptr_t>(this);/' \
+    unit_tests "hosts with equal tables do not compare them"
 mutant same-digest $policy/membership/member_table.cpp \
-    's/            out \^= hashOf\(it.second.member\);/            out ^= 0;/; s/std::uint64_t out = reachable\(m_self\) \? hashOf\(m_self\) : 0;/std::uint64_t out = 0;/' \
+    's/            out \^= recordHash\(it.second.member, it.second.member.leaving\);/            out ^= 0;/; s/std::uint64_t out = reachable\(m_self\) \? recordHash\(m_self, m_self.leaving\) : 0;/std::uint64_t out = 0;/' \
     unit_tests "the two sides of a network partition merge after it heals"
 mutant small-carry $policy/entrypoints/entry_points.cpp \
     's/    excludeSmallHosts\(members\);\n//' \
