Stop using servers that left while a host had lost the store

Cause: an entry that is missing after an outage was kept in full use for the grace period, since entries may lapse while the store is away and come back. A host's own cut looks the same as an outage. Ruled out: a late watch (the list arrived 3.1 s after the loss), the batch delay of watches. Change: such a server is marked as missing and used only while most servers of its service are. Entries that lapse in an outage do so together, servers leave a few at a time. Hosts that follow others get the mark too, and a watcher that keeps a missing server no longer brings it back at a follower. A log line says that an entry is missing and kept.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -62,6 +62,7 @@
         [](const std::string &name, TimePoint) {
             log.warning("configuration removed name=" + name + "; the last one remains in force");
         },
+        [](const std::string &) {},
         [](bool, TimePoint) {},
         [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
@@ -75,6 +76,7 @@
             m_serverList.onObject(object.name, object.spec, now);
         },
         [this](const std::string &name, TimePoint now) { m_serverList.onRemoved(name, now); },
+        [this](const std::string &name) { m_serverList.onMissing(name); },
         [this](bool watched, TimePoint now) { onServersSynced(watched, now); },
         [this] { return m_role.followed() ? followedWatchWait : longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -10,6 +10,9 @@
 constexpr adapters::logging::LogChannel log("servers:");
 
 constexpr std::size_t maxLoggedChanges = 4000;
+// Member that this project adds to an entry in messages between hosts, if the entry is missing
+// since an outage.
+constexpr const char *missingMember = "goldcrestline_missing";
 // Time for which a removal is reported to every host that asks; above the time between its polls.
 constexpr core::Duration removalReportTime = std::chrono::seconds(10);
 
@@ -47,7 +50,7 @@
         return;
     }
     auto text = spec.dump();
-    if (text != latest.text)
+    if (m_missing.erase(id) != 0 || text != latest.text)
         m_uncommitted.insert(id);
     m_digest ^= latest.hash;
     latest = {startedAt, entry.sequence, std::move(text), hashOf(entry.record)};
@@ -62,6 +65,7 @@
     log.info("removed id=" + id);
     m_backends.remove(id);
     m_held.erase(id);
+    m_missing.erase(id);
     const auto it = m_latest.find(id);
     if (it == m_latest.end())
         return;
@@ -72,6 +76,20 @@
     m_recentRemovals.push_back({id, now});
 }
 
+void ServerList::onMissing(const std::string &id)
+{
+    log.info("entry missing since an outage id=" + id);
+    markMissing(id);
+}
+
+void ServerList::markMissing(const std::string &id)
+{
+    if (m_latest.count(id) == 0 || !m_missing.insert(id).second)
+        return;
+    m_uncommitted.insert(id);
+    m_backends.markMissing(id);
+}
+
 void ServerList::tick(core::TimePoint now)
 {
     if (m_held.empty())
@@ -89,7 +107,7 @@
     for (const auto &it : copy.items()) {
         if (m_latest.count(it.key()) != 0)
             continue;
-        onObject(it.key(), it.value(), now);
+        applyPeerEntry(it.key(), it.value(), now);
     }
     log.info("loaded from a peer entries=" + std::to_string(copy.size()));
 }
@@ -107,7 +125,7 @@
     auto out = nlohmann::json::object();
     for (const auto &it : m_latest) {
         if (!it.second.text.empty())
-            out[it.first] = nlohmann::json::parse(it.second.text);
+            out[it.first] = entryForPeers(it.first);
     }
     return out;
 }
@@ -132,11 +150,23 @@
     }
 }
 
-void ServerList::putChanged(const std::string &id, nlohmann::json &entries) const
+nlohmann::json ServerList::entryForPeers(const std::string &id) const
 {
     const auto it = m_latest.find(id);
-    const bool removed = it == m_latest.end() || it->second.text.empty();
-    entries[id] = removed ? nlohmann::json() : nlohmann::json::parse(it->second.text);
+    if (it == m_latest.end() || it->second.text.empty())
+        return {};
+    auto entry = nlohmann::json::parse(it->second.text);
+    if (m_missing.count(id) != 0)
+        entry[missingMember] = true;
+    return entry;
+}
+
+void ServerList::applyPeerEntry(const std::string &id, nlohmann::json entry, core::TimePoint now)
+{
+    const bool missing = entry.is_object() && entry.erase(missingMember) != 0;
+    onObject(id, entry, now);
+    if (missing)
+        markMissing(id);
 }
 
 ServerList::Changes ServerList::changesSince(core::Version since, core::TimePoint now) const
@@ -150,7 +180,7 @@
     changes.entries = nlohmann::json::object();
     for (const auto &it : m_log) {
         if (it.version > since)
-            putChanged(it.id, changes.entries);
+            changes.entries[it.id] = entryForPeers(it.id);
     }
     for (const auto &it : m_recentRemovals) {
         if (now - it.removedAt <= removalReportTime && m_latest.count(it.id) == 0)
@@ -176,7 +206,10 @@
                 removed.push_back(it.key());
             continue;
         }
-        onObject(it.key(), it.value(), now);
+        // Another watcher may have removed a server whose entry this one keeps.
+        const bool missing = it.value().contains(missingMember);
+        if (!missing || m_latest.count(it.key()) != 0)
+            applyPeerEntry(it.key(), it.value(), now);
     }
     for (const auto &it : removed)
         onRemoved(it, now);
--- a/packages/daemon/forward/server_list.h
+++ b/packages/daemon/forward/server_list.h
@@ -30,6 +30,11 @@
     // Removes the server whose entry was deleted.
     void onRemoved(const std::string &id, core::TimePoint now);
 
+    // Records that the entry is missing since an outage: the server has left, or its entry lapsed
+    // and is written again. Until then, or its removal, the server is used only if most of its
+    // service is missing.
+    void onMissing(const std::string &id);
+
     // Records that the store was restored from an older copy.
     void onStoreRestored(core::TimePoint now) { m_departed.onStoreRestored(now); }
 
@@ -92,7 +97,12 @@
         core::TimePoint removedAt{};
     };
 
-    void putChanged(const std::string &id, nlohmann::json &entries) const;
+    // Returns the entry as other hosts get it; null for a removed one.
+    nlohmann::json entryForPeers(const std::string &id) const;
+    // Applies an entry in the form of entryForPeers().
+    void applyPeerEntry(const std::string &id, nlohmann::json entry, core::TimePoint now);
+    // Marks the server of a known entry as missing.
+    void markMissing(const std::string &id);
 
     policy::forward::BackendTable &m_backends;
     std::unordered_map<std::string, LatestEntry> m_latest;
@@ -107,6 +117,8 @@
     // grace period, so that it is reported to all for a time.
     std::deque<Removal> m_recentRemovals;
     policy::forward::DepartedServers m_departed;
+    // Entries that are missing since an outage, by server id.
+    std::set<std::string> m_missing;
     // Entries that are held back, by server id.
     std::unordered_map<std::string, nlohmann::json> m_held;
 };
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -31,6 +31,8 @@
         timedOut.detail = "no answer in time";
         onReply(false, timedOut, now);
     }
+    for (const auto &it : m_mirror.takeMissing())
+        m_hooks.onMissing(it);
     for (const auto &it : m_mirror.takeRemovals(now))
         m_hooks.onRemoved(it, now);
     if (const auto step = m_mirror.next(now))
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -21,6 +21,9 @@
         // Receives each listed object, and each object that was created or changed.
         std::function<void(const platform::StoreObject &, core::TimePoint now)> onObject;
         std::function<void(const std::string &name, core::TimePoint now)> onRemoved;
+        // Called for an object that is missing since an outage; onRemoved follows unless its owner
+        // writes it again within the grace period.
+        std::function<void(const std::string &name)> onMissing;
         // Called after each successful response, when its objects have been delivered. `watched`:
         // the response is that of a watch, not of a list.
         std::function<void(bool watched, core::TimePoint now)> onSynced;
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -65,6 +65,7 @@
             const bool leaving = old.leaving || record.leaving;
             old = record;
             old.leaving = leaving;
+            setMissing(*it->second, false);
             return;
         }
         remove(record.id);
@@ -82,10 +83,27 @@
     if (it == m_byId.end())
         return;
     it->second->listed = false;
+    setMissing(*it->second, false);
     std::erase(m_services[it->second->record.service].backends, it->second);
     m_byId.erase(it);
 }
 
+void BackendTable::markMissing(const std::string &id)
+{
+    const auto it = m_byId.find(id);
+    if (it != m_byId.end())
+        setMissing(*it->second, true);
+}
+
+void BackendTable::setMissing(Backend &backend, bool missing)
+{
+    if (backend.missing == missing)
+        return;
+    backend.missing = missing;
+    auto &count = m_services[backend.record.service].missing;
+    missing ? ++count : --count;
+}
+
 std::vector<std::string> BackendTable::ids() const
 {
     std::vector<std::string> out;
@@ -101,8 +119,10 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
-bool BackendTable::usable(const Backend &backend, TimePoint now) const
+bool BackendTable::usable(const Service &service, const Backend &backend, TimePoint now)
 {
+    if (backend.missing && 2 * service.missing <= service.backends.size())
+        return false;
     return backend.listed && !backend.record.leaving && backend.ejectedUntil <= now
         && backend.restUntil <= now;
 }
@@ -182,7 +202,7 @@
         return best;
     std::size_t inFlight = 0;
     for (const auto &it : found->backends) {
-        if (!usable(*it, now))
+        if (!usable(*found, *it, now))
             continue;
         inFlight += it->pending.size();
         const auto candidate = estimateAt(*found, *it, now);
@@ -222,7 +242,7 @@
     BackendPtr best;
     double bestCost = 0;
     for (const auto &it : found->backends) {
-        if (!usable(*it, now) || !hasCapacity(*it, now))
+        if (!usable(*found, *it, now) || !hasCapacity(*it, now))
             continue;
         if (std::find(exclude.begin(), exclude.end(), it) != exclude.end())
             continue;
@@ -242,7 +262,8 @@
     if (found == nullptr)
         return false;
     return std::any_of(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
-        return usable(*it, now) && std::find(exclude.begin(), exclude.end(), it) == exclude.end();
+        return usable(*found, *it, now)
+            && std::find(exclude.begin(), exclude.end(), it) == exclude.end();
     });
 }
 
@@ -253,7 +274,7 @@
         return 0;
     return static_cast<int>(
         std::count_if(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
-            return usable(*it, now) && hasCapacity(*it, now);
+            return usable(*found, *it, now) && hasCapacity(*it, now);
         }));
 }
 
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -70,6 +70,9 @@
     BackendRecord record;
     // False once the server is removed from the list or its address belongs to another server.
     bool listed = true;
+    // The server's entry is missing since an outage of the store: the server has left, or its entry
+    // lapsed and is written again.
+    bool missing = false;
     // Send times of the attempts in flight, oldest first.
     std::vector<core::TimePoint> pending;
     // Moving average of the response time; 0 before the first sample.
@@ -155,6 +158,11 @@
     // Removes a server from the list; attempts in flight keep its state alive.
     void remove(const std::string &id);
 
+    // Records that the server's entry is missing since an outage. Until it is put again or removed,
+    // the server is used only while most servers of its service are missing, since entries that
+    // lapse in an outage do so together.
+    void markMissing(const std::string &id);
+
     // Returns the ids of all listed servers.
     std::vector<std::string> ids() const;
 
@@ -205,6 +213,8 @@
     struct Service
     {
         std::vector<BackendPtr> backends;
+        // Of these, the ones whose entry is missing.
+        std::size_t missing = 0;
         // Slow moving averages over all servers of the service; 0 before the first sample.
         double typicalMs = 0;
         double typicalProcessingMs = 0;
@@ -219,7 +229,9 @@
 
     const Service *find(const std::string &service) const;
     bool isKnownAsLeaving(const BackendRecord &record) const;
-    bool usable(const Backend &backend, core::TimePoint now) const;
+    static bool usable(const Service &service, const Backend &backend, core::TimePoint now);
+    // Sets whether the server's entry is missing.
+    void setMissing(Backend &backend, bool missing);
     bool hasCapacity(const Backend &backend, core::TimePoint now) const;
     // Returns the latency expected of the server when idle: its own average, which decays towards
     // the service's typical latency.
--- a/packages/policy/mirror/mirror.cpp
+++ b/packages/policy/mirror/mirror.cpp
@@ -47,6 +47,7 @@
     for (const auto &it : names) {
         m_listed.insert(it);
         m_removals.erase(it);
+        m_missing.erase(it);
     }
     if (more && !names.empty()) {
         m_listAfter = names.back();
@@ -72,6 +73,7 @@
         return scheduleRemoval(name, now);
     m_known.insert(name);
     m_removals.erase(name);
+    m_missing.erase(name);
 }
 
 void Mirror::scheduleRemoval(const std::string &name, TimePoint now)
@@ -81,6 +83,8 @@
     const bool afterOutage = m_consecutiveFailures > 0
         || (m_recoveredAt && now < *m_recoveredAt + m_times.removalGracePeriod);
     m_removals[name] = afterOutage ? now + m_times.removalGracePeriod : now;
+    if (afterOutage)
+        m_missing.insert(name);
 }
 
 core::Duration Mirror::nextBatchDelay(TimePoint now)
@@ -146,6 +150,13 @@
     m_nextCallAt = now;
 }
 
+std::vector<std::string> Mirror::takeMissing()
+{
+    std::vector<std::string> out(m_missing.begin(), m_missing.end());
+    m_missing.clear();
+    return out;
+}
+
 std::vector<std::string> Mirror::takeRemovals(TimePoint now)
 {
     std::vector<std::string> out;
@@ -156,6 +167,7 @@
         }
         out.push_back(it->first);
         m_known.erase(it->first);
+        m_missing.erase(it->first);
         it = m_removals.erase(it);
     }
     return out;
--- a/packages/policy/mirror/mirror.h
+++ b/packages/policy/mirror/mirror.h
@@ -91,6 +91,10 @@
     // Records that the watch in flight was aborted because the copy is stale.
     void onWatchAborted(core::TimePoint now);
 
+    // Returns the names of the objects that are missing since an outage and are kept for the grace
+    // period; each is returned once.
+    std::vector<std::string> takeMissing();
+
     // Returns the names of the removed objects whose grace period has passed; each is returned
     // once.
     std::vector<std::string> takeRemovals(core::TimePoint now);
@@ -129,6 +133,8 @@
     std::set<std::string> m_listed;
     // Objects to be removed, with the time at which each is due.
     std::map<std::string, core::TimePoint> m_removals;
+    // Of these, the ones that takeMissing() has yet to return.
+    std::set<std::string> m_missing;
 };
 
 } // namespace goldcrestline::policy::mirror
--- a/tests/process/server_notices_test.cpp
+++ b/tests/process/server_notices_test.cpp
@@ -148,3 +148,30 @@
     REQUIRE(eventually([&] { return load.answered() > answered + 100; }));
     CHECK(countOf(cluster.runs(), "i-single-0", "arrivals") == before);
 }
+
+TEST_CASE("a host that lost the store stops using a server that left meanwhile",
+          "[process][routes]")
+{
+    std::vector<std::unique_ptr<soak::FaultProxy>> proxies;
+    RoutedCluster cluster(1, 3, [&](std::size_t, const std::string &store) {
+        proxies.push_back(std::make_unique<soak::FaultProxy>(0, store));
+        return proxies.back()->address();
+    });
+    RequestLoad load(cluster, 0, "/one/x");
+    REQUIRE(eventually([&] { return load.answered() > 20; }));
+    proxies[0]->setMode(soak::ProxyMode::Silent);
+    proxies[0]->resetAll();
+    REQUIRE(eventually([&] { return cluster.metric(0, "store_reached") == 0; }, 5));
+    // Its entry is removed, and it goes on serving.
+    cluster.setBackends({{"id", "i-single-0"}, {"state", "gone"}});
+    proxies[0]->setMode(soak::ProxyMode::Pass);
+    proxies[0]->resetAll();
+    REQUIRE(eventually([&] { return cluster.metric(0, "store_reached") == 1; }, 5));
+    std::this_thread::sleep_for(settleTime);
+    const auto before = countOf(cluster.runs(), "i-single-0", "arrivals");
+    const int answered = load.answered();
+    REQUIRE(eventually([&] { return load.answered() > answered + 100; }));
+    CHECK(countOf(cluster.runs(), "i-single-0", "arrivals") == before);
+    const auto statuses = load.finish();
+    CHECK(statuses.size() == 1);
+}
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -299,3 +299,30 @@
     departed.onRemoved("late", 7, start + 2s);
     CHECK_FALSE(departed.isHeld("late", 7, start + 3s));
 }
+
+TEST_CASE(
+    "a server whose entry is missing since an outage is used only while most of its service is")
+{
+    Table table;
+    const auto usable = [&] { return table.backends.countAvailable("s", start); };
+    table.backends.markMissing("s-a");
+    CHECK(usable() == 2);
+    SECTION("entries that lapsed in the outage are missing together")
+    {
+        table.backends.markMissing("s-b");
+        CHECK(usable() == 3);
+        table.backends.put(recordOf("s-b", "b"));
+        CHECK(usable() == 2);
+    }
+    SECTION("a server that writes its entry again is used")
+    {
+        table.backends.put(recordOf("s-a", "a"));
+        CHECK(usable() == 3);
+    }
+    SECTION("a server that is removed no longer counts")
+    {
+        table.backends.remove("s-a");
+        table.backends.markMissing("s-b");
+        CHECK(usable() == 1);
+    }
+}
--- a/tests/unit/mirror_test.cpp
+++ b/tests/unit/mirror_test.cpp
@@ -70,6 +70,8 @@
     mirror.onChange("a", true, recovered);
     mirror.onChange("b", true, recovered);
     mirror.onWatchResponse(5, true, recovered);
+    CHECK(mirror.takeMissing() == std::vector<std::string>{"a", "b"});
+    CHECK(mirror.takeMissing().empty());
     CHECK(mirror.takeRemovals(recovered + 2400ms).empty());
     mirror.next(recovered + 1s);
     mirror.onChange("b", false, recovered + 1s);
--- a/tests/unit/server_list_test.cpp
+++ b/tests/unit/server_list_test.cpp
@@ -134,11 +134,16 @@
                 store.restoreWithout(id);
             else if (step < 55)
                 store.listTo(watcher, now);
-            else if (step < 75)
+            else if (step < 72)
                 store.watchBy(watcher, now);
+            else if (step < 75)
+                watcher.list.onMissing(id);
             else
                 follower.follow(watcher, now);
         }
+        // Owners of missing entries write them again.
+        for (const auto &it : std::map(store.entries))
+            store.put(it.first);
         store.watchBy(watchers[0], now);
         now += 10s;
         follower.follow(watchers[0], now);
@@ -147,3 +152,30 @@
         RC_ASSERT(follower.list.digest() == watchers[0].list.digest());
     });
 }
+
+TEST_CASE("a watcher that keeps a missing server does not bring it back at a follower")
+{
+    Host watchers[2];
+    Host follower;
+    Store store;
+    for (const char *it : {"s1", "s2", "s3"})
+        store.put(it);
+    for (auto &it : watchers)
+        store.listTo(it, start);
+    follower.follow(watchers[0], start);
+    store.remove("s1");
+    store.listTo(watchers[1], start + 1s);
+    follower.follow(watchers[1], start + 1s);
+    REQUIRE(follower.list.ids().size() == 2);
+    // The other watcher was cut off from the store and lists it now.
+    store.put("s2");
+    for (const auto &it : store.entries)
+        watchers[0].list.onObject(it.first, it.second, start + 2s);
+    watchers[0].list.onMissing("s1");
+    watchers[0].version = store.version;
+    watchers[0].list.commit(store.version, false, start + 2s);
+    follower.follow(watchers[0], start + 2s);
+    CHECK(follower.list.ids().size() == 2);
+    CHECK(watchers[0].list.ids().size() == 3);
+    CHECK(watchers[0].backends.countAvailable("s", start + 2s) == 2);
+}
