Hold back late heartbeats of removed servers

Test first: "a late heartbeat of a removed server does not bring it back", red before (the entry was put back at once), green after. Cause: the sequence of the last heartbeat was forgotten with the entry, so that an older one, written late by the server or listed by another host, made the server usable again. Change: the sequence is kept with the removal. An entry of the same process whose heartbeat is not newer is held back for the lifetime of an entry: one that is still listed then belongs to a live server. Held entries are logged once, no longer ten times a second, and a restore of the store begins them anew. The mutant removed-returns follows the code and is red.

--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -35,13 +35,22 @@
         return;
     }
     const auto &entry = decoded.value();
-    const auto startedAt = entry.record.startedAt;
-    m_held.erase(id);
-    if (m_departed.isHeld(id, startedAt, now)) {
-        log.info("restored entry of a removed server held back id=" + id);
-        m_held[id] = spec;
-        return;
+    const auto until = m_departed.heldUntil(id, entry.record.startedAt, entry.sequence, now);
+    if (!until) {
+        m_held.erase(id);
+        return apply(entry, spec);
     }
+    const auto [held, added] = m_held.try_emplace(id, HeldEntry{spec, *until});
+    if (added)
+        log.info("entry of a removed server held back id=" + id);
+    held->second.spec = spec;
+}
+
+void ServerList::apply(const platform::ServerEntry &entry, const nlohmann::json &spec)
+{
+    const auto &id = entry.record.id;
+    const auto startedAt = entry.record.startedAt;
+    m_departed.onReturned(id);
     auto &latest = m_latest[id];
     const bool outdated = startedAt < latest.startedAt
         || (startedAt == latest.startedAt && entry.sequence < latest.sequence);
@@ -69,13 +78,19 @@
     const auto it = m_latest.find(id);
     if (it == m_latest.end())
         return;
-    m_departed.onRemoved(id, it->second.startedAt, now);
+    m_departed.onRemoved(id, it->second.startedAt, it->second.sequence, now);
     m_digest ^= it->second.hash;
     m_latest.erase(it);
     m_uncommitted.insert(id);
     m_recentRemovals.push_back({id, now});
 }
 
+void ServerList::onStoreRestored(core::TimePoint now)
+{
+    m_departed.onStoreRestored(now);
+    m_held.clear();
+}
+
 void ServerList::onMissing(const std::string &id)
 {
     log.info("entry missing since an outage id=" + id);
@@ -92,12 +107,16 @@
 
 void ServerList::tick(core::TimePoint now)
 {
-    if (m_held.empty())
-        return;
-    // Entries that are still held back return to the map.
-    const auto held = std::exchange(m_held, {});
-    for (const auto &it : held)
-        onObject(it.first, it.second, now);
+    for (auto it = m_held.begin(); it != m_held.end();) {
+        if (now < it->second.until) {
+            ++it;
+            continue;
+        }
+        // Decodable, since only decoded entries are held back.
+        const auto entry = platform::decodeServer(it->first, it->second.spec);
+        apply(entry.value(), it->second.spec);
+        it = m_held.erase(it);
+    }
 }
 
 void ServerList::loadFromPeer(const nlohmann::json &copy, core::TimePoint now)
--- a/packages/daemon/forward/server_list.h
+++ b/packages/daemon/forward/server_list.h
@@ -23,8 +23,8 @@
     { }
 
     // Applies an entry of the store. A malformed entry removes the server; an entry older than the
-    // latest one of the same id is ignored. After a restore of the store, the entry of a server
-    // that was removed before is held back.
+    // latest one of the same id is ignored. The entry of a server that was removed before is held
+    // back after a restore of the store, or if its heartbeat is not newer than the removed one's.
     void onObject(const std::string &id, const nlohmann::json &spec, core::TimePoint now);
 
     // Removes the server whose entry was deleted.
@@ -35,8 +35,9 @@
     // service is missing.
     void onMissing(const std::string &id);
 
-    // Records that the store was restored from an older copy.
-    void onStoreRestored(core::TimePoint now) { m_departed.onStoreRestored(now); }
+    // Records that the store was restored from an older copy. Precondition: all entries are applied
+    // again afterwards.
+    void onStoreRestored(core::TimePoint now);
 
     // Applies the entries that are no longer held back. Call periodically.
     void tick(core::TimePoint now);
@@ -85,6 +86,13 @@
         std::uint64_t hash = 0;
     };
 
+    // An entry that is used from `until` on, if it is still listed then.
+    struct HeldEntry
+    {
+        nlohmann::json spec;
+        core::TimePoint until{};
+    };
+
     // A change of the entry with this id.
     struct LoggedChange
     {
@@ -97,6 +105,8 @@
         core::TimePoint removedAt{};
     };
 
+    // Applies an entry unless an older one is known.
+    void apply(const platform::ServerEntry &entry, const nlohmann::json &spec);
     // Returns the entry as other hosts get it; null for a removed one.
     nlohmann::json entryForPeers(const std::string &id) const;
     // Applies an entry in the form of entryForPeers().
@@ -120,7 +130,7 @@
     // Entries that are missing since an outage, by server id.
     std::set<std::string> m_missing;
     // Entries that are held back, by server id.
-    std::unordered_map<std::string, nlohmann::json> m_held;
+    std::unordered_map<std::string, HeldEntry> m_held;
 };
 
 } // namespace goldcrestline::daemon::forward
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -172,7 +172,7 @@
     's/return EraOrder::Outdated;/return EraOrder::Current;/' \
     unit_tests "the store's era rises once with each restore and earlier eras are outdated"
 mutant removed-returns $policy/forward/departed_servers.cpp \
-    's/it->second.removedAt <= m_restoredAt/false/' \
+    's/return m_restoredAt \+ m_entryLifetime/return std::nullopt/' \
     process_tests "after a restore of the store hosts follow it again and nothing that left returns"
 mutant no-new-record packages/daemon/forward/forward_host.cpp \
     's/\[this\]\(TimePoint now\) \{ m_registry.onStoreRestored\(now\); \}/[](TimePoint) {}/' \
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -288,16 +288,19 @@
 TEST_CASE("a restored entry of a removed server is held back until the store would have removed it")
 {
     DepartedServers departed(4s);
-    departed.onRemoved("gone", 7, start);
-    CHECK_FALSE(departed.isHeld("gone", 7, start + 1s));
+    departed.onRemoved("gone", 7, 4, start);
+    CHECK_FALSE(departed.heldUntil("gone", 7, 5, start + 1s));
     departed.onStoreRestored(start + 1s);
-    CHECK(departed.isHeld("gone", 7, start + 4900ms));
-    CHECK_FALSE(departed.isHeld("gone", 7, start + 5s));
-    CHECK_FALSE(departed.isHeld("gone", 8, start + 2s));
-    CHECK_FALSE(departed.isHeld("other", 7, start + 2s));
+    CHECK(departed.heldUntil("gone", 7, 5, start + 4900ms) == start + 5s);
+    CHECK_FALSE(departed.heldUntil("gone", 7, 5, start + 5s));
+    CHECK_FALSE(departed.heldUntil("gone", 8, 5, start + 2s));
+    CHECK_FALSE(departed.heldUntil("other", 7, 5, start + 2s));
     // Removed and listed again after the restore, as a server that writes its entry late.
-    departed.onRemoved("late", 7, start + 2s);
-    CHECK_FALSE(departed.isHeld("late", 7, start + 3s));
+    departed.onRemoved("late", 7, 4, start + 2s);
+    CHECK_FALSE(departed.heldUntil("late", 7, 5, start + 3s));
+    CHECK(departed.heldUntil("late", 7, 4, start + 3s) == start + 7s);
+    departed.onReturned("late");
+    CHECK_FALSE(departed.heldUntil("late", 7, 4, start + 3s));
 }
 
 TEST_CASE(
--- a/tests/unit/server_list_test.cpp
+++ b/tests/unit/server_list_test.cpp
@@ -179,3 +179,35 @@
     CHECK(watchers[0].list.ids().size() == 3);
     CHECK(watchers[0].backends.countAvailable("s", start + 2s) == 2);
 }
+
+TEST_CASE("a late heartbeat of a removed server does not bring it back")
+{
+    Host host;
+    host.list.onObject("s1", entryOf(5), start);
+    host.list.onRemoved("s1", start + 1s);
+    host.list.onObject("s1", entryOf(4), start + 2s);
+    CHECK(host.list.ids().empty());
+    CHECK(host.backends.ids().empty());
+    SECTION("a heartbeat after the removal does")
+    {
+        host.list.onObject("s1", entryOf(6), start + 3s);
+        CHECK(host.backends.ids().size() == 1);
+    }
+    SECTION("a later process of the server does")
+    {
+        auto entry = entryOf(1);
+        entry["born"] = 8;
+        host.list.onObject("s1", entry, start + 3s);
+        CHECK(host.backends.ids().size() == 1);
+    }
+    SECTION("a restored entry that stays listed does")
+    {
+        host.list.onStoreRestored(start + 3s);
+        host.list.onObject("s1", entryOf(4), start + 3s);
+        CHECK(host.backends.ids().empty());
+        host.list.tick(start + 6900ms);
+        CHECK(host.backends.ids().empty());
+        host.list.tick(start + 7s);
+        CHECK(host.backends.ids().size() == 1);
+    }
+}
