Keep to the request rates that servers name

Cause: the header Server-Limit was not read. Ruled out: a late reaction (no source named it). Change: each host takes its share of the rate as a token bucket for each server (RequestLimit); a server without a token counts as busy, so that others of its service get the request, and the estimate of the latency includes the wait, so that requests that can't be served in time are refused or leave the part out at once. An answer without the header ends the limit. Log lines and two metrics.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -90,6 +90,7 @@
     to.setListsRevision(from.listsVersion.revision);
     to.setStoreEra(from.storeEra);
     to.setServerDigest(from.serverDigest);
+    to.setRequestsPerSecond(from.requestsPerSecond);
     to.setFleetRevision(from.fleetRevision);
     to.setConfirmationAgeMs(from.confirmationAge.count());
     auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
@@ -115,6 +116,7 @@
     gossip.listsVersion = {from.getListsEra(), from.getListsRevision()};
     gossip.storeEra = from.getStoreEra();
     gossip.serverDigest = from.getServerDigest();
+    gossip.requestsPerSecond = from.getRequestsPerSecond();
     gossip.fleetRevision = from.getFleetRevision();
     gossip.confirmationAge = core::Millis(std::max<std::int64_t>(0, from.getConfirmationAgeMs()));
     for (const auto it : from.getMembers())
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -43,6 +43,8 @@
   wanted @11 :List(UInt64);
   # Digest of the sender's server list at fleetRevision.
   serverDigest @12 :UInt64;
+  # Rate of requests of the sender's callers.
+  requestsPerSecond @13 :Float32;
 }
 
 struct Outcome {
--- a/packages/daemon/forward/fleet_quota.cpp
+++ b/packages/daemon/forward/fleet_quota.cpp
@@ -20,7 +20,8 @@
       m_share(1.0 / static_cast<double>(m_minHosts))
 { }
 
-void FleetQuota::update(const policy::membership::MemberTable &members, core::TimePoint now)
+void FleetQuota::update(const policy::membership::MemberTable &members, std::uint64_t requests,
+                        core::TimePoint now)
 {
     if (m_startedAt == core::TimePoint{})
         m_startedAt = now;
@@ -28,8 +29,15 @@
     const auto live = members.live();
     const auto &self = members.self().name;
     m_share = policy::entrypoints::quotaShare(live, self, m_minHosts);
-    m_receivesCallerTraffic =
-        policy::entrypoints::containsHost(policy::entrypoints::eligibleHosts(live), self);
+    const auto eligible = policy::entrypoints::eligibleHosts(live);
+    m_receivesCallerTraffic = policy::entrypoints::containsHost(eligible, self);
+    std::vector<std::string> others;
+    for (const auto &it : eligible) {
+        if (it.name != self)
+            others.push_back(it.name);
+    }
+    m_demand.onRequests(requests, now);
+    m_demand.update(others, now);
 }
 
 int FleetQuota::connectionLimit(int serverLimit) const
--- a/packages/daemon/forward/forward_counters.h
+++ b/packages/daemon/forward/forward_counters.h
@@ -25,6 +25,8 @@
     std::uint64_t extraAttempts = 0;
     // Servers that became known as leaving by their own responses.
     std::uint64_t serversLeaving = 0;
+    // Servers that began to limit their requests per second.
+    std::uint64_t serversLimited = 0;
     // Responses in which a server asked for no requests for a time.
     std::uint64_t restsRequested = 0;
     std::array<std::uint64_t, latencyBucketsMs.size() + 1> latency{};
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -57,6 +57,7 @@
 // Interval between estimates of the processor utilization.
 constexpr core::Millis processorCheckPeriod{1000};
 constexpr double percentPerUnit = 100;
+constexpr double permillePerUnit = 1000;
 // Idle time-out of connections to servers on a host to which no callers are directed. A server
 // accepts fewer connections than there are hosts, so such a host has to release them quickly.
 constexpr core::Millis standbyIdleTimeout{600};
@@ -158,7 +159,8 @@
     // Recomputes this host's share of the fleet-wide limits from the current members.
     void updateQuota(TimePoint now)
     {
-        m_quota.update(m_members, now);
+        m_quota.update(m_members, m_forward.counters().requests, now);
+        m_backends.setLimitShare(m_quota.demandShare());
         m_forward.setExtraBurst(m_quota.extraBurst());
         m_backendClient.setIdleTimeout(
             m_quota.receivesCallerTraffic() ? ExchangeOptions().idleTimeout : standbyIdleTimeout);
@@ -218,11 +220,13 @@
                     gossip.leavingServers = m_backends.recentLeavingNotes(now);
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
+                    gossip.requestsPerSecond = static_cast<float>(m_quota.requestsPerSecond());
                 },
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
                        std::optional<TimePoint>, TimePoint now) {
                     m_copy.onGossip(gossip, from.peersAddress, now);
                     noteLeavingServers(gossip, now);
+                    m_quota.onRequestRate(from.name, gossip.requestsPerSecond, now);
                 }};
     }
 
@@ -325,6 +329,8 @@
         gauges.processorUsePercent =
             static_cast<std::uint64_t>(percentPerUnit * m_processorLoad.utilization());
         gauges.stopping = m_stopping;
+        gauges.limitSharePermille =
+            static_cast<std::uint64_t>(permillePerUnit * m_quota.demandShare());
         return {200, {{"Content-Type", "text/plain"}}, formatMetrics(gauges, m_forward.counters())};
     }
 
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -271,6 +271,14 @@
         log.info("server reports that it is leaving id=" + record.id
                  + " service=" + record.service);
     }
+    // A misdirected request was answered by another server.
+    if (reply.kind != ReplyKind::Misdirected
+        && m_backends.onLimitReport(backend, reply.requestLimit, now)) {
+        m_counters.serversLimited += reply.requestLimit ? 1 : 0;
+        log.info((reply.requestLimit ? "server limits its requests id=" : "limit ended id=")
+                 + record.id + " service=" + record.service
+                 + " per_second=" + std::to_string(reply.requestLimit.value_or(0)));
+    }
     if (!reply.restFor)
         return;
     ++m_counters.restsRequested;
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -40,6 +40,8 @@
     appendLine(out, "attempts_extra_total", counters.extraAttempts);
     appendLine(out, "servers_leaving_total", counters.serversLeaving);
     appendLine(out, "server_rests_total", counters.restsRequested);
+    appendLine(out, "servers_limited_total", counters.serversLimited);
+    appendLine(out, "limit_share_permille", gauges.limitSharePermille);
     appendLine(out, "store_watching", gauges.storeWatching ? 1 : 0);
     appendLine(out, "store_era", gauges.storeEra);
     appendLine(out, "store_restores_total", gauges.storeRestores);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -32,6 +32,8 @@
     // Estimated processor utilization; may exceed 100.
     std::uint64_t processorUsePercent = 0;
     bool stopping = false;
+    // Share of the limits of servers, in thousandths.
+    std::uint64_t limitSharePermille = 0;
 };
 
 // Returns the metrics in text form, with one name and value per line. Thread-safe.
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -26,6 +26,7 @@
 constexpr double reportProcessingFactor = 2;
 // Relative spread of the random jitter that keeps hosts from all selecting the same server.
 constexpr double costJitter = 0.2;
+constexpr double millisPerSecond = 1000;
 
 double decayFactor(double elapsedMs, double halfLifeMs)
 {
@@ -131,6 +132,8 @@
 {
     if (backend.backoffUntil > now)
         return false;
+    if (backend.limit && !backend.limit->allows(m_limitShare, now))
+        return false;
     const bool rested = backend.restUntil != TimePoint{};
     if (rested && now < backend.restUntil + m_parameters.restRampUp)
         return backend.pending.empty();
@@ -189,10 +192,15 @@
     const double slots = std::max(backend.record.slots, 1);
     const double rounds = std::max(0.0, requestsPerSlot(backend, now) - 1 + 1 / slots);
     const double response = out.processingMs * (1 + rounds);
-    out.responseMs = response + stallPenaltyMs(backend, response, now);
+    out.responseMs = response + stallPenaltyMs(backend, response, now) + limitWaitMs(backend, now);
     return out;
 }
 
+double BackendTable::limitWaitMs(const Backend &backend, TimePoint now) const
+{
+    return backend.limit ? backend.limit->waitMs(m_limitShare, now) : 0;
+}
+
 std::optional<LatencyEstimate>
 BackendTable::estimateLatency(const std::string &service, std::size_t waiting, TimePoint now) const
 {
@@ -201,10 +209,14 @@
     if (found == nullptr)
         return best;
     std::size_t inFlight = 0;
+    bool limited = true;
+    double limitPerSecond = 0;
     for (const auto &it : found->backends) {
         if (!usable(*found, *it, now))
             continue;
         inFlight += it->pending.size();
+        limited = limited && it->limit;
+        limitPerSecond += it->limit ? it->limit->perSecond(m_limitShare) : 0;
         const auto candidate = estimateAt(*found, *it, now);
         if (!best || candidate.responseMs < best->responseMs)
             best = candidate;
@@ -214,6 +226,8 @@
         const auto rounds =
             static_cast<double>(waiting) / static_cast<double>(std::max<std::size_t>(inFlight, 1));
         best->responseMs *= 1 + rounds;
+        if (limited)
+            best->responseMs += millisPerSecond * static_cast<double>(waiting) / limitPerSecond;
     }
     return best;
 }
@@ -281,6 +295,8 @@
 void BackendTable::onSent(Backend &backend, TimePoint now)
 {
     backend.pending.push_back(now);
+    if (backend.limit)
+        backend.limit->onSent(m_limitShare, now);
 }
 
 void BackendTable::onEnded(Backend &backend, AttemptOutcome outcome, TimePoint sentAt,
@@ -421,6 +437,20 @@
     backend.restUntil = std::max(backend.restUntil, until);
 }
 
+bool BackendTable::onLimitReport(Backend &backend, std::optional<double> fleetPerSecond,
+                                 TimePoint now)
+{
+    const bool changed = fleetPerSecond.has_value() != backend.limit.has_value();
+    if (!fleetPerSecond) {
+        backend.limit.reset();
+    } else if (backend.limit) {
+        backend.limit->setRate(*fleetPerSecond, m_limitShare, now);
+    } else {
+        backend.limit.emplace(*fleetPerSecond, now);
+    }
+    return changed;
+}
+
 std::optional<TimePoint> BackendTable::availableAgainAt(const std::string &service,
                                                         TimePoint now) const
 {
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "policy/forward/request_limit.h"
 #include "policy/routing/server_table.h"
 
 #include <cstdint>
@@ -88,6 +89,8 @@
     core::TimePoint backoffUntil{};
     // No requests are sent until then, since the server asked for none.
     core::TimePoint restUntil{};
+    // Request rate that the server accepts, if it limits it.
+    std::optional<RequestLimit> limit;
     // Requests of other hosts that are running or queued at the server, from its last load report.
     double otherHostsLoad = 0;
     // Queued requests per slot, from the server's last load report.
@@ -196,6 +199,13 @@
     // Records that the server asked for no requests for `time`.
     void onRestRequested(Backend &backend, core::Duration time, core::TimePoint now);
 
+    // Records what a server's response says of the requests per second that it accepts from all
+    // hosts together; nothing if it has no limit. Returns whether a limit began or ended.
+    bool onLimitReport(Backend &backend, std::optional<double> fleetPerSecond, core::TimePoint now);
+
+    // Sets this host's fraction of the servers' limits, above 0 and at most 1.
+    void setLimitShare(double share) { m_limitShare = share; }
+
     // Returns when the first resting or ejected server of the service is used again; nothing if
     // the service has none.
     std::optional<core::TimePoint> availableAgainAt(const std::string &service,
@@ -244,6 +254,8 @@
     // other hosts, which decay with the report's age.
     double requestsPerSlot(const Backend &backend, core::TimePoint now) const;
     double stallPenaltyMs(const Backend &backend, double expectedMs, core::TimePoint now) const;
+    // Returns the time, in ms, until the server's limit allows a request; 0 without a limit.
+    double limitWaitMs(const Backend &backend, core::TimePoint now) const;
     void updateProcessingTime(Service &service, Backend &backend, double latencyMs,
                               core::TimePoint now);
     // Returns the selection cost of the server, in ms, with random jitter.
@@ -257,6 +269,7 @@
     PlacementParameters m_parameters;
     std::function<int(const std::string &)> m_connectionLimit;
     std::function<double()> m_random;
+    double m_limitShare = 1;
     std::unordered_map<std::string, Service> m_services;
     std::unordered_map<std::string, BackendPtr> m_byId;
     std::unordered_map<std::string, LeavingProcess> m_leaving;
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -36,6 +36,8 @@
     std::uint64_t serverDigest = 0;
     // Newest era of the platform's store that the sender knows; 0 if none.
     std::uint64_t storeEra = 0;
+    // Requests per second that the sender gets from callers.
+    float requestsPerSecond = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
--- a/tests/process/server_notices_test.cpp
+++ b/tests/process/server_notices_test.cpp
@@ -149,6 +149,34 @@
     CHECK(countOf(cluster.runs(), "i-single-0", "arrivals") == before);
 }
 
+TEST_CASE("a server gets no more requests than the limit that it names", "[process][routes]")
+{
+    RoutedCluster cluster(2);
+    // The limit is below the load of one caller at each host.
+    cluster.setBackends({{"id", "i-single-0"}, {"limit_per_s", 8.0}});
+    cluster.setBackends({{"id", "i-single-1"}, {"limit_per_s", 8.0}});
+    RequestLoad first(cluster, 0, "/one/x");
+    RequestLoad second(cluster, 1, "/one/x");
+    // The time after which a named limit counts, and the window in which requests are counted.
+    const auto window = std::chrono::seconds(4);
+    std::this_thread::sleep_for(window);
+    const auto before = cluster.runs();
+    std::this_thread::sleep_for(window);
+    const auto after = cluster.runs();
+    for (const char *it : {"i-single-0", "i-single-1"}) {
+        const int arrivals = countOf(after, it, "arrivals") - countOf(before, it, "arrivals");
+        CHECK(arrivals <= 1.5 * 8 * 4 + 5);
+        CHECK(arrivals >= 4);
+    }
+    CHECK(cluster.metric(0, "servers_limited_total") >= 1);
+    for (auto *it : {&first, &second}) {
+        // The other servers take the rest.
+        const auto statuses = it->finish();
+        CHECK(statuses.size() == 1);
+        CHECK(statuses.count(200) == 1);
+    }
+}
+
 TEST_CASE("a host that lost the store stops using a server that left meanwhile",
           "[process][routes]")
 {
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -110,6 +110,8 @@
     auto response = co_await respond(request, std::move(connection), backend);
     if (backend->saysLeaving)
         response.set("Server-Leaving", "1");
+    if (backend->limitPerSecond > 0)
+        response.set("Server-Limit", std::to_string(backend->limitPerSecond));
     co_return response;
 }
 
@@ -183,6 +185,7 @@
         it->workMs = body.value("work_ms", it->workMs);
         it->saysLeaving = body.value("says_leaving", it->saysLeaving);
         it->restSeconds = body.value("rest_s", it->restSeconds);
+        it->limitPerSecond = body.value("limit_per_s", it->limitPerSecond);
         if (body.value("restart", false)) {
             ++it->startedAt;
             it->sequence = 0;
--- a/tests/standins/backend_farm.h
+++ b/tests/standins/backend_farm.h
@@ -43,6 +43,8 @@
         bool saysLeaving = false;
         // If above 0, the server refuses each request and asks for none for this many seconds.
         double restSeconds = 0;
+        // Requests per second that the server names as its limit; 0 for none.
+        double limitPerSecond = 0;
         // Requests that arrived, refused ones included.
         int arrivals = 0;
         // Requests whose execution has begun.
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -34,6 +34,7 @@
     gossip.listsVersion = {3, 9};
     gossip.storeEra = 4;
     gossip.leavingServers = {{"server", 5}};
+    gossip.requestsPerSecond = 12.5F;
     const auto decoded = decode(encode(11, ports::PeerRequest(gossip)));
     REQUIRE(decoded);
     CHECK(decoded->id == 11);
@@ -45,6 +46,7 @@
     CHECK(copy.wanted == gossip.wanted);
     CHECK(copy.listsVersion == gossip.listsVersion);
     CHECK(copy.storeEra == 4);
+    CHECK(copy.requestsPerSecond == 12.5F);
     CHECK(copy.leavingServers.at(0).serverId == "server");
     ports::CopyResponse response;
     response.version = {2, 40};
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -242,6 +242,19 @@
         CHECK_FALSE(restFor(503, it));
 }
 
+TEST_CASE("readServerReply reads the request rate that a server accepts")
+{
+    const auto limit = [](int status, const std::string &value) {
+        return platform::readServerReply(response(status, {{"Server-Limit", value}})).requestLimit;
+    };
+    CHECK(limit(200, "38.8") == 38.8);
+    CHECK(limit(503, "0") == 0.0);
+    CHECK(limit(200, " 12 ") == std::nullopt);
+    for (const char *it : {"", "-1", "few", "nan", "inf", "1/s"})
+        CHECK_FALSE(limit(200, it));
+    CHECK_FALSE(platform::readServerReply(response(200, {})).requestLimit);
+}
+
 TEST_CASE("readReply reads the store's era from every response")
 {
     CHECK_FALSE(platform::readReply(response(200, {}, "{}")).era);
