Keep a connection that was just accepted when a stopping host ends accepting

Cause: when accepting ended, every connection on which nothing had arrived yet was closed, also one whose caller was about to send its first request. Through a proxy or over a network the request comes a little after the connection. Change: such a connection stays for 500 ms after its start and counts as active; one that sends nothing does not hold up the stop for longer. Test: "a connection accepted just before the server stops accepting gets its first answer", red before (no active connection, no answer), green after.

--- a/packages/adapters/loop/http_server.cpp
+++ b/packages/adapters/loop/http_server.cpp
@@ -32,6 +32,9 @@
 // Time between the end of the last response and the close of the connection, in which the caller
 // can read the response while it still sends data.
 constexpr core::Millis lingerTimeout{1000};
+// Time for which a connection without a request is kept after the server stopped accepting, counted
+// from its start: its caller is about to send one.
+constexpr core::Millis newConnectionGrace{500};
 // Delay before accepting again after a failure, such as running out of file descriptors.
 constexpr core::Millis acceptRetryDelay{100};
 
@@ -60,6 +63,9 @@
     std::uint64_t callId = 0;
     // Time at which tick() rejects an incomplete request or closes the connection.
     TimePoint deadline{};
+    TimePoint startedAt{};
+    // No request was received yet.
+    bool isNew = true;
     bool readPending = false;
 };
 using SessionPtr = std::shared_ptr<Session>;
@@ -142,14 +148,17 @@
         }
     }
 
-    // Closes the connections on which no request has arrived.
-    void closeIdle()
+    // Closes the connections on which no request has arrived, except new ones.
+    void closeIdle(TimePoint now)
     {
         std::vector<SessionPtr> idle;
         for (const auto &it : sessions) {
             error_code ec;
             const bool unread = it->state == SessionState::Idle && it->socket.available(ec) > 0;
-            if (!unread
+            const bool awaited = it->isNew && now < it->startedAt + newConnectionGrace;
+            if (awaited)
+                it->deadline = std::min(it->deadline, it->startedAt + newConnectionGrace);
+            if (!unread && !awaited
                 && (it->state == SessionState::Idle || it->state == SessionState::Lingering))
                 idle.push_back(it);
         }
@@ -164,7 +173,8 @@
         socket.set_option(tcp::no_delay(true), ec);
         const auto session = std::make_shared<Session>(std::move(socket));
         sessions.insert(session);
-        session->deadline = core::Clock::now() + limits.idleTimeout;
+        session->startedAt = core::Clock::now();
+        session->deadline = session->startedAt + limits.idleTimeout;
         startRead(session);
     }
 
@@ -190,6 +200,7 @@
         switch (session->state) {
         case SessionState::Idle:
             session->state = SessionState::Reading;
+            session->isNew = false;
             session->deadline = now + limits.headerTimeout;
             break;
         case SessionState::Lingering:
@@ -456,15 +467,16 @@
     error_code ec;
     m_impl->acceptor.close(ec);
     // Reads that have completed are handled first.
-    asio::post(m_impl->io, [this] { m_impl->closeIdle(); });
+    asio::post(m_impl->io, [this] { m_impl->closeIdle(core::Clock::now()); });
 }
 
 std::size_t HttpServer::activeConnections() const
 {
     std::size_t n = 0;
     for (const auto &it : m_impl->sessions) {
-        const bool isActive = it->state == SessionState::Reading
-            || it->state == SessionState::AwaitingResponse || it->state == SessionState::Writing;
+        const bool isActive = (it->state == SessionState::Idle && it->isNew)
+            || it->state == SessionState::Reading || it->state == SessionState::AwaitingResponse
+            || it->state == SessionState::Writing;
         n += isActive ? 1 : 0;
     }
     return n;
--- a/packages/adapters/loop/http_server.h
+++ b/packages/adapters/loop/http_server.h
@@ -67,11 +67,12 @@
     // Disables keep-alive: each further response closes its connection.
     void disableKeepAlive();
 
-    // Stops accepting connections and closes the idle ones.
+    // Stops accepting connections and closes the idle ones. A connection that has just been accepted
+    // is kept for a short time, in which its caller can send its first request.
     void stopAccepting();
 
-    // Returns the number of connections with a request that is being received or handled, or whose
-    // response is being written.
+    // Returns the number of connections with a request that is awaited as the first one, being
+    // received or handled, or whose response is being written.
     std::size_t activeConnections() const;
 
 private:
--- a/tests/unit/loop_test.cpp
+++ b/tests/unit/loop_test.cpp
@@ -382,6 +382,28 @@
     CHECK(fixture.server.activeConnections() == 0);
 }
 
+TEST_CASE("a connection accepted just before the server stops accepting gets its first answer")
+{
+    ServerFixture fixture;
+    auto known = fixture.connect();
+    fixture.sendAndRead(known, head + "\r\n", [](const auto &it) { return contains(it, "/a"); });
+    auto fresh = fixture.connect();
+    auto silent = fixture.connect();
+    fixture.io.restart();
+    fixture.io.run_for(20ms);
+    fixture.server.disableKeepAlive();
+    fixture.server.stopAccepting();
+    fixture.io.restart();
+    fixture.io.run_for(20ms);
+    CHECK(fixture.server.activeConnections() == 2);
+    CHECK(contains(fixture.sendAndRead(fresh, head + "\r\n",
+                                       [](const std::string &it) { return contains(it, "200"); }),
+                   "200"));
+    // One that sends nothing does not hold up the stop.
+    fixture.server.tick(core::Clock::now() + 500ms);
+    CHECK(fixture.server.activeConnections() == 0);
+}
+
 TEST_CASE("corrupted requests never reach the handler partially read and do not stop the server")
 {
     std::mt19937 random(20261204);
