Do not drop a connection whose accept completes as accepting ends

Cause: an asynchronous accept may have taken a connection from the kernel when the acceptor is closed; its handler then dropped the socket. Under load the next accept completes at once, so that this is frequent. Change: the handler starts the session before it looks at the acceptor. Between the last accept and the close a connection may still complete in the kernel and be reset; no request of it was read then.

--- a/packages/adapters/loop/http_server.cpp
+++ b/packages/adapters/loop/http_server.cpp
@@ -119,6 +119,9 @@
     void accept()
     {
         acceptor.async_accept([this](error_code ec, tcp::socket socket) {
+            // An accept may complete just before the acceptor is closed.
+            if (!ec)
+                startSession(std::move(socket));
             if (ec == asio::error::operation_aborted || !acceptor.is_open())
                 return;
             if (ec) {
@@ -129,7 +132,6 @@
                 });
                 return;
             }
-            startSession(std::move(socket));
             accept();
         });
     }
--- a/tests/process/routes_test.cpp
+++ b/tests/process/routes_test.cpp
@@ -1,3 +1,4 @@
+#include "fault_proxy.h"
 #include "query_load.h"
 #include "request_load.h"
 #include "routed_cluster.h"
@@ -237,6 +238,27 @@
     CHECK(refused == refusedBefore);
 }
 
+TEST_CASE("callers that stay until a host is gone are not cut by its planned stop",
+          "[process][routes]")
+{
+    RoutedCluster cluster(1);
+    // The proxy stands for the network: a request reaches the host a little after its connection.
+    soak::FaultProxy proxy(0, cluster.host(0).callers);
+    proxy.setDelay(1);
+    cluster.host(0).callers = proxy.address();
+    std::vector<std::unique_ptr<RequestLoad>> senders;
+    for (int i = 0; i < 12; ++i)
+        senders.push_back(std::make_unique<RequestLoad>(cluster, 0, "/one/x"));
+    for (const auto &it : senders)
+        REQUIRE(eventually([&] { return it->answered() > 1; }));
+    cluster.host(0).process->signal(SIGTERM);
+    CHECK(cluster.host(0).process->wait(6) == 0);
+    for (const auto &it : senders) {
+        it->finish();
+        CHECK(it->interrupted() == 0);
+    }
+}
+
 TEST_CASE("changed settings are reloaded without interrupting requests, with and without a signal",
           "[process][routes]")
 {
--- a/tests/unit/loop_test.cpp
+++ b/tests/unit/loop_test.cpp
@@ -404,6 +404,21 @@
     CHECK(fixture.server.activeConnections() == 0);
 }
 
+TEST_CASE("a connection whose accept completes as the server stops accepting is not dropped")
+{
+    ServerFixture fixture;
+    auto first = fixture.connect();
+    auto second = fixture.connect();
+    // Accepts the first one, and the second one without running its handler.
+    fixture.io.restart();
+    fixture.io.run_one();
+    fixture.server.disableKeepAlive();
+    fixture.server.stopAccepting();
+    const auto answered = [](const std::string &it) { return contains(it, "200"); };
+    for (auto *it : {&first, &second})
+        CHECK(contains(fixture.sendAndRead(*it, head + "\r\n", answered), "200"));
+}
+
 TEST_CASE("corrupted requests never reach the handler partially read and do not stop the server")
 {
     std::mt19937 random(20261204);
