Notice a store that answers no host's watch any more

Cause: the store had kept every pending watch open without an answer. A host notices a silent watch by the news of its peers, and here no peer had any; the watch itself ends after 25 s and 2 s more. Change: without followers, the watch of the servers ends after a random time of at most 1.5 s for each live host, so that one of them soon meets the silence and the others hear of it; a watch has 1 s for its answer beyond its wait; a silent watch lets the host check its other one; and a watch after an aborted one returns at once.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -29,6 +29,10 @@
 constexpr core::Millis longWatchWait{25000};
 // The same for the servers on a host that others follow, whose responses confirm the copies of all.
 constexpr core::Millis followedWatchWait{1500};
+// Without followers, each host's watch of the servers ends after a random time of at most this much
+// per live host, so that one of them soon notices a store that answers no watch, however many there
+// are, and the others by its news.
+constexpr core::Millis watchWaitPerHost{1500};
 // Age reported without any confirmation.
 constexpr core::Millis unconfirmedAge{3600000};
 
@@ -64,6 +68,7 @@
         },
         [](const std::string &) {},
         [](bool, TimePoint) {},
+        [this](TimePoint now) { checkWatch(m_servers, now); },
         [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
@@ -78,11 +83,28 @@
         [this](const std::string &name, TimePoint now) { m_serverList.onRemoved(name, now); },
         [this](const std::string &name) { m_serverList.onMissing(name); },
         [this](bool watched, TimePoint now) { onServersSynced(watched, now); },
-        [this] { return m_role.followed() ? followedWatchWait : longWatchWait; },
+        [this](TimePoint now) { checkWatch(m_config, now); },
+        [this] { return serversWatchWait(); },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
 }
 
+void PlatformCopy::checkWatch(StoreSync &sync, TimePoint now)
+{
+    if (sync.mirror().watching() && !sync.mirror().failing())
+        sync.restart(now);
+}
+
+core::Millis PlatformCopy::serversWatchWait() const
+{
+    if (m_role.followed())
+        return followedWatchWait;
+    const auto spread = static_cast<double>(m_liveHosts) * m_hooks.random()
+        * static_cast<double>(watchWaitPerHost.count());
+    return std::clamp(core::Millis(static_cast<std::int64_t>(spread)), followedWatchWait,
+                      longWatchWait);
+}
+
 void PlatformCopy::applyConfig(const nlohmann::json &spec, const std::string &from)
 {
     auto table = platform::decodeConfig(spec);
@@ -103,6 +125,7 @@
 void PlatformCopy::updateRole(const std::vector<policy::membership::Member> &live,
                               const policy::membership::Member &self, TimePoint now)
 {
+    m_liveHosts = live.size();
     // Before the operator writes the first configuration, the server list is all there is.
     m_role.update(live, self, serversKnown(), now);
     if (m_role.watching() == m_wasWatching)
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -77,6 +77,10 @@
     bool storeReached(core::TimePoint now) const;
 
 private:
+    // Watches anew by a sync whose watch may have gone silent with the other one's.
+    static void checkWatch(StoreSync &sync, core::TimePoint now);
+    // Returns how long the store may hold this host's watch of the servers.
+    core::Millis serversWatchWait() const;
     StoreSync::Hooks configHooks();
     StoreSync::Hooks serverHooks();
     policy::mirror::Mirror makeMirror();
@@ -101,6 +105,8 @@
     policy::mirror::WatchRole m_role;
     CopyFollower m_follower;
     bool m_wasWatching = false;
+    // Live hosts, this one included.
+    std::size_t m_liveHosts = 1;
     // Version of the server list.
     core::Version m_serversVersion;
     // Time of the last response to this host's own watch of the servers.
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -12,8 +12,10 @@
 
 // Wait of a watch that is to return at once.
 constexpr core::Millis immediateWait{1};
-// Time-out of a call; a watch has its wait in addition.
+// Time-out of a list.
 constexpr core::Millis responseTimeout{2000};
+// The same for a watch in addition to its wait, which the store has no work to answer.
+constexpr core::Millis watchResponseTimeout{1000};
 
 } // namespace
 
@@ -26,10 +28,13 @@
 void StoreSync::tick(TimePoint now)
 {
     if (m_exchange != 0 && now >= m_timeoutAt) {
+        const bool silent = m_mirror.watching() && !m_mirror.failing();
         m_client.abort(m_exchange);
         platform::StoreReply timedOut;
         timedOut.detail = "no answer in time";
         onReply(false, timedOut, now);
+        if (silent)
+            m_hooks.onWatchSilent(now);
     }
     for (const auto &it : m_mirror.takeMissing())
         m_hooks.onMissing(it);
@@ -47,7 +52,7 @@
     if (watch != nullptr) {
         const auto wait = watch->immediate ? immediateWait : m_hooks.watchWait();
         request = platform::watchRequest(m_kind, watch->revision, wait);
-        m_timeoutAt += wait;
+        m_timeoutAt = now + wait + watchResponseTimeout;
     } else {
         request = platform::listRequest(m_kind, std::get<policy::mirror::ListStep>(step).after);
     }
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -27,6 +27,8 @@
         // Called after each successful response, when its objects have been delivered. `watched`:
         // the response is that of a watch, not of a list.
         std::function<void(bool watched, core::TimePoint now)> onSynced;
+        // Called when a watch got no response in time although the store answered before.
+        std::function<void(core::TimePoint now)> onWatchSilent;
         // Returns how long the store may hold a watch without changes.
         std::function<core::Millis()> watchWait;
         // Compares the era of a store response with the newest one known.
--- a/packages/policy/mirror/mirror.cpp
+++ b/packages/policy/mirror/mirror.cpp
@@ -24,12 +24,13 @@
     m_lastCallAt = now;
     if (m_listing)
         return ListStep{m_listAfter};
-    return WatchStep{m_revision, m_consecutiveFailures > 0};
+    return WatchStep{m_revision, m_consecutiveFailures > 0 || m_watchAborted};
 }
 
 void Mirror::recordSuccess(TimePoint now)
 {
     m_callInFlight = false;
+    m_watchAborted = false;
     if (m_consecutiveFailures > 0)
         m_recoveredAt = now;
     m_consecutiveFailures = 0;
@@ -147,6 +148,7 @@
 void Mirror::onWatchAborted(TimePoint now)
 {
     m_callInFlight = false;
+    m_watchAborted = true;
     m_nextCallAt = now;
 }
 
--- a/packages/policy/mirror/mirror.h
+++ b/packages/policy/mirror/mirror.h
@@ -41,7 +41,7 @@
 {
     std::uint64_t revision = 0;
     // Returns at once, with or without changes. After a failure the store may have been restored
-    // from an older copy, which only a response shows.
+    // from an older copy, which only a response shows, and after an abort it may answer no watch.
     bool immediate = false;
 };
 using Step = std::variant<ListStep, WatchStep>;
@@ -101,6 +101,8 @@
 
     // Returns whether a complete list was read since the start or the last restart().
     bool complete() const { return m_complete; }
+    // Returns whether the next call, or the one in flight, is a watch.
+    bool watching() const { return !m_listing; }
     // Returns whether the last call failed.
     bool failing() const { return m_consecutiveFailures > 0; }
     std::uint64_t revision() const { return m_revision; }
@@ -113,6 +115,8 @@
     MirrorTimings m_times;
     std::function<double()> m_jitter;
     bool m_callInFlight = false;
+    // The last watch was aborted and no call succeeded since.
+    bool m_watchAborted = false;
     bool m_listing = true;
     bool m_complete = false;
     // Last name of the previous page; empty before the first page.
--- a/tests/process/server_notices_test.cpp
+++ b/tests/process/server_notices_test.cpp
@@ -203,3 +203,24 @@
     const auto statuses = load.finish();
     CHECK(statuses.size() == 1);
 }
+
+TEST_CASE("hosts whose watches have all gone silent at once learn of a leaving server in time",
+          "[process][routes]")
+{
+    RoutedCluster cluster(3);
+    RequestLoad load(cluster, 0, "/one/x");
+    REQUIRE(eventually([&] { return load.answered() > 20; }));
+    // The store never answers the pending watches, and keeps their connections open.
+    cluster.setPlatform({{"mode", "hang"}});
+    std::this_thread::sleep_for(settleTime);
+    cluster.setPlatform({{"mode", "up"}});
+    cluster.setBackends({{"id", "i-single-0"}, {"state", "draining"}});
+    // The shortest time after a disturbance from which a host must follow the store again, and the
+    // time within which a leaving server gets no more requests.
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    const auto before = countOf(cluster.runs(), "i-single-0", "arrivals");
+    const int answered = load.answered();
+    REQUIRE(eventually([&] { return load.answered() > answered + 100; }));
+    CHECK(countOf(cluster.runs(), "i-single-0", "arrivals") == before);
+    CHECK(load.finish().size() == 1);
+}
--- a/tests/unit/mirror_test.cpp
+++ b/tests/unit/mirror_test.cpp
@@ -244,3 +244,14 @@
     mirror.onWatchResponse(20, false, start + 2s);
     CHECK_FALSE(std::get<WatchStep>(*mirror.next(start + 2s)).immediate);
 }
+
+TEST_CASE("the first watch after an aborted one returns at once, so that a silent store is noticed")
+{
+    auto mirror = makeMirror();
+    listAll(mirror, {"a"}, 20, start);
+    CHECK_FALSE(std::get<WatchStep>(*mirror.next(start)).immediate);
+    mirror.onWatchAborted(start + 1s);
+    CHECK(std::get<WatchStep>(*mirror.next(start + 1s)).immediate);
+    mirror.onWatchResponse(20, false, start + 1s);
+    CHECK_FALSE(std::get<WatchStep>(*mirror.next(start + 1s)).immediate);
+}
