Use a server again that is listed by an outdated entry, and log malformed limits

A server that was marked as missing and comes back with an entry whose sequence is older stayed marked, since the entry was left out before the mark was cleared; with no further change of its entry it would have been out of use for good. Test first: "a server that is listed again after an outage is used, also by an outdated entry". A malformed Server-Limit no longer ends the limit and is logged.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -271,14 +271,7 @@
         log.info("server reports that it is leaving id=" + record.id
                  + " service=" + record.service);
     }
-    // A misdirected request was answered by another server.
-    if (reply.kind != ReplyKind::Misdirected
-        && m_backends.onLimitReport(backend, reply.requestLimit, now)) {
-        m_counters.serversLimited += reply.requestLimit ? 1 : 0;
-        log.info((reply.requestLimit ? "server limits its requests id=" : "limit ended id=")
-                 + record.id + " service=" + record.service
-                 + " per_second=" + std::to_string(reply.requestLimit.value_or(0)));
-    }
+    noteLimit(backend, reply, now);
     if (!reply.restFor)
         return;
     ++m_counters.restsRequested;
@@ -287,6 +280,24 @@
     m_backends.onRestRequested(backend, *reply.restFor, now);
 }
 
+void ForwardService::noteLimit(policy::forward::Backend &backend,
+                               const platform::ServerReply &reply, TimePoint now)
+{
+    // A misdirected request was answered by another server.
+    if (reply.kind == ReplyKind::Misdirected)
+        return;
+    const auto &record = backend.record;
+    if (reply.requestLimitMalformed)
+        return log.warning("malformed request limit, the last one stays id=" + record.id);
+    if (!m_backends.onLimitReport(backend, reply.requestLimit, now))
+        return;
+    if (!reply.requestLimit)
+        return log.info("limit ended id=" + record.id + " service=" + record.service);
+    ++m_counters.serversLimited;
+    log.info("server limits its requests id=" + record.id + " service=" + record.service
+             + " per_second=" + std::to_string(*reply.requestLimit));
+}
+
 void ForwardService::recordOutcome(const Attempt &attempt, AttemptOutcome outcome, TimePoint now)
 {
     m_backends.onEnded(*attempt.backend, outcome, attempt.sentAt, now);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -143,6 +143,9 @@
     // Applies what the server said about itself: that it is leaving, or wants no requests.
     void noteRequests(policy::forward::Backend &backend, const platform::ServerReply &reply,
                       core::TimePoint now);
+    // Applies what a server's response says of its limit.
+    void noteLimit(policy::forward::Backend &backend, const platform::ServerReply &reply,
+                   core::TimePoint now);
     // Updates the server's statistics and the route's latency with the outcome of an attempt.
     void recordOutcome(const Attempt &attempt, policy::forward::AttemptOutcome outcome,
                        core::TimePoint now);
--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -51,6 +51,11 @@
     const auto &id = entry.record.id;
     const auto startedAt = entry.record.startedAt;
     m_departed.onReturned(id);
+    // An outdated entry too shows that the store lists the server.
+    if (m_missing.erase(id) != 0) {
+        m_backends.setMissing(id, false);
+        m_uncommitted.insert(id);
+    }
     auto &latest = m_latest[id];
     const bool outdated = startedAt < latest.startedAt
         || (startedAt == latest.startedAt && entry.sequence < latest.sequence);
@@ -59,7 +64,7 @@
         return;
     }
     auto text = spec.dump();
-    if (m_missing.erase(id) != 0 || text != latest.text)
+    if (text != latest.text)
         m_uncommitted.insert(id);
     m_digest ^= latest.hash;
     latest = {startedAt, entry.sequence, std::move(text), hashOf(entry.record)};
@@ -102,7 +107,7 @@
     if (m_latest.count(id) == 0 || !m_missing.insert(id).second)
         return;
     m_uncommitted.insert(id);
-    m_backends.markMissing(id);
+    m_backends.setMissing(id, true);
 }
 
 void ServerList::tick(core::TimePoint now)
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -89,11 +89,11 @@
     m_byId.erase(it);
 }
 
-void BackendTable::markMissing(const std::string &id)
+void BackendTable::setMissing(const std::string &id, bool missing)
 {
     const auto it = m_byId.find(id);
     if (it != m_byId.end())
-        setMissing(*it->second, true);
+        setMissing(*it->second, missing);
 }
 
 void BackendTable::setMissing(Backend &backend, bool missing)
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -161,10 +161,10 @@
     // Removes a server from the list; attempts in flight keep its state alive.
     void remove(const std::string &id);
 
-    // Records that the server's entry is missing since an outage. Until it is put again or removed,
-    // the server is used only while most servers of its service are missing, since entries that
-    // lapse in an outage do so together.
-    void markMissing(const std::string &id);
+    // Records whether the server's entry is missing since an outage. Until it is listed again or
+    // removed, the server is used only while most servers of its service are missing, since entries
+    // that lapse in an outage do so together. Unknown ids are ignored.
+    void setMissing(const std::string &id, bool missing);
 
     // Returns the ids of all listed servers.
     std::vector<std::string> ids() const;
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -219,7 +219,7 @@
     's/it->socket.available\(ec\) > 0/false/' \
     unit_tests "requests that have arrived when the server stops accepting are answered"
 mutant restore-hidden $policy/mirror/mirror.cpp \
-    's/return WatchStep\{m_revision, m_consecutiveFailures > 0\};/return WatchStep{m_revision, false};/' \
+    's/m_consecutiveFailures > 0 \|\| m_watchAborted/false/' \
     process_tests "after a restore of the store hosts follow it again and nothing that left returns"
 mutant spreads-compared $policy/membership/member_table.cpp \
     's/fromComparison \? notSpread : 0/0/' \
@@ -233,6 +233,30 @@
 mutant forgets-removals packages/daemon/forward/server_list.cpp \
     's/    m_uncommitted.insert\(id\);\n    m_recentRemovals.push_back\(\{id, now\}\);\n//' \
     unit_tests "a follower of changing watchers holds the list of the newest one"
+mutant missing-used $policy/forward/backend_table.cpp \
+    's/if \(backend.missing && /if (false \&\& /' \
+    process_tests "a host that lost the store stops using a server that left meanwhile"
+mutant missing-returns packages/daemon/forward/server_list.cpp \
+    's/if \(!missing \|\| /if (true || /' \
+    unit_tests "a watcher that keeps a missing server does not bring it back at a follower"
+mutant late-heartbeat $policy/forward/departed_servers.cpp \
+    's/if \(!restored && /if (false \&\& /' \
+    unit_tests "a late heartbeat of a removed server does not bring it back"
+mutant limit-unread platform/http_messages.cpp \
+    's/reply.requestLimit = readRequestLimit\(result.headers\);//' \
+    process_tests "a server gets no more requests than the limit that it names"
+mutant limit-unshared $policy/limits/demand_share.cpp \
+    's/m_share = own \/ .*?;/m_share = 1;/s' \
+    unit_tests "hosts together send no more than a server's limit allows"
+mutant new-connection-closed packages/adapters/loop/http_server.cpp \
+    's/if \(!unread && !awaited/if (!unread/' \
+    unit_tests "a connection accepted just before the server stops accepting gets its first answer"
+mutant accept-dropped packages/adapters/loop/http_server.cpp \
+    's/if \(!ec\)\n                startSession/if (!ec \&\& acceptor.is_open())\n                startSession/' \
+    unit_tests "a connection whose accept completes as the server stops accepting is not dropped"
+mutant silent-store packages/daemon/forward/platform_copy.cpp \
+    's/return serversWatchWait\(\);/return longWatchWait;/' \
+    process_tests "hosts whose watches have all gone silent at once learn of a leaving server in time"
 
 ninja -C "$build" >/dev/null 2>&1
 echo "$survived mutants survived"
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -308,11 +308,11 @@
 {
     Table table;
     const auto usable = [&] { return table.backends.countAvailable("s", start); };
-    table.backends.markMissing("s-a");
+    table.backends.setMissing("s-a", true);
     CHECK(usable() == 2);
     SECTION("entries that lapsed in the outage are missing together")
     {
-        table.backends.markMissing("s-b");
+        table.backends.setMissing("s-b", true);
         CHECK(usable() == 3);
         table.backends.put(recordOf("s-b", "b"));
         CHECK(usable() == 2);
@@ -325,7 +325,7 @@
     SECTION("a server that is removed no longer counts")
     {
         table.backends.remove("s-a");
-        table.backends.markMissing("s-b");
+        table.backends.setMissing("s-b", true);
         CHECK(usable() == 1);
     }
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -250,9 +250,13 @@
     CHECK(limit(200, "38.8") == 38.8);
     CHECK(limit(503, "0") == 0.0);
     CHECK(limit(200, " 12 ") == std::nullopt);
-    for (const char *it : {"", "-1", "few", "nan", "inf", "1/s"})
+    for (const char *it : {"", "-1", "few", "nan", "inf", "1/s"}) {
         CHECK_FALSE(limit(200, it));
+        CHECK(
+            platform::readServerReply(response(200, {{"Server-Limit", it}})).requestLimitMalformed);
+    }
     CHECK_FALSE(platform::readServerReply(response(200, {})).requestLimit);
+    CHECK_FALSE(platform::readServerReply(response(200, {})).requestLimitMalformed);
 }
 
 TEST_CASE("readReply reads the store's era from every response")
--- a/tests/unit/server_list_test.cpp
+++ b/tests/unit/server_list_test.cpp
@@ -180,6 +180,17 @@
     CHECK(watchers[0].backends.countAvailable("s", start + 2s) == 2);
 }
 
+TEST_CASE("a server that is listed again after an outage is used, also by an outdated entry")
+{
+    Host host;
+    for (const char *it : {"s1", "s2", "s3"})
+        host.list.onObject(it, entryOf(5), start);
+    host.list.onMissing("s1");
+    CHECK(host.backends.countAvailable("s", start) == 2);
+    host.list.onObject("s1", entryOf(4), start + 1s);
+    CHECK(host.backends.countAvailable("s", start) == 3);
+}
+
 TEST_CASE("a late heartbeat of a removed server does not bring it back")
 {
     Host host;
