Drop late responses of hosts to an earlier process with the same message id

Cause: message ids began at 1 in every process. Change: ids begin at random; a response counts only if it has the type of its request and comes from the host that was asked; others are logged. The same check of the type over HTTP.

--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <map>
+#include <random>
 #include <stdexcept>
 
 namespace goldcrestline::adapters::peers {
@@ -50,6 +51,9 @@
     {
         TimePoint deadline;
         ports::PeerHandler done;
+        // Index of the request in PeerRequest, which its response has in PeerResponse.
+        std::size_t requestIndex = 0;
+        udp::endpoint to;
     };
 
     Impl(asio::io_context &io, const std::string &address,
@@ -109,7 +113,7 @@
             return;
         }
         if (auto *answer = std::get_if<ports::PeerResponse>(&message->content))
-            return complete(message->id, std::move(*answer));
+            return complete(message->id, std::move(*answer), from);
         ports::PeerCall call;
         call.request = std::move(std::get<ports::PeerRequest>(message->content));
         call.reply = [this, id = message->id, from](const ports::PeerResponse &answer) {
@@ -145,11 +149,19 @@
         socket.send_to(asio::buffer(bytes), to, 0, ec);
     }
 
-    void complete(std::uint64_t id, ports::PeerResponse answer)
+    void complete(std::uint64_t id, ports::PeerResponse answer, const udp::endpoint &from)
     {
-        auto node = pending.extract(id);
-        if (!node.empty())
-            node.mapped().done({PeerOutcome::Answered, std::move(answer)});
+        const auto it = pending.find(id);
+        if (it == pending.end())
+            return;
+        // A late response to an earlier process at this address, whose ids may be the same.
+        if (it->second.requestIndex != answer.index() || it->second.to != from) {
+            log.warning("response to another request dropped id=" + std::to_string(id));
+            return;
+        }
+        auto done = std::move(it->second.done);
+        pending.erase(it);
+        done({PeerOutcome::Answered, std::move(answer)});
     }
 
     void onHttpMessage(loop::HttpCall call)
@@ -185,21 +197,25 @@
             + std::to_string(out.body->size()) + "\r\n");
         out.deadline = now + timeout;
         client.send(address, std::move(out), now,
-                    [done = std::move(done)](const ports::ExchangeResult &result) {
-                        done(readResult(result));
-                    });
+                    [done = std::move(done), index = request.index()](
+                        const ports::ExchangeResult &result) { done(readResult(result, index)); });
     }
 
-    static ports::PeerResult readResult(const ports::ExchangeResult &result)
+    // Returns the result of a request with this index.
+    static ports::PeerResult readResult(const ports::ExchangeResult &result,
+                                        std::size_t requestIndex)
     {
         if (result.outcome == ports::ExchangeOutcome::NotReached)
             return {PeerOutcome::NotReached, {}};
         if (result.outcome != ports::ExchangeOutcome::Answered || result.status != 200)
             return {PeerOutcome::NoResponse, {}};
         auto message = decode(result.body);
-        if (!message || !std::holds_alternative<ports::PeerResponse>(message->content))
+        auto *response = message ? std::get_if<ports::PeerResponse>(&message->content) : nullptr;
+        if (response == nullptr || response->index() != requestIndex) {
+            log.warning("response of another type dropped");
             return {PeerOutcome::NoResponse, {}};
-        return {PeerOutcome::Answered, std::move(std::get<ports::PeerResponse>(message->content))};
+        }
+        return {PeerOutcome::Answered, std::move(*response)};
     }
 
     udp::socket socket;
@@ -207,7 +223,10 @@
     std::function<void(ports::PeerCall)> onCall;
     loop::HttpServer server;
     std::map<std::uint64_t, Pending> pending;
-    std::uint64_t lastId = 0;
+    // Begins at random, so that a late response to an earlier process is not taken for one to this
+    // process.
+    std::uint64_t lastId = std::random_device{}();
+    std::uint64_t calls = 0;
     ports::PeerTraffic traffic;
 };
 
@@ -224,6 +243,7 @@
                         core::Millis timeout, ports::PeerHandler done)
 {
     const auto id = ++m_impl->lastId;
+    ++m_impl->calls;
     if (!isSentAsDatagram(request))
         return m_impl->sendOverHttp(address, id, request, timeout, std::move(done));
     const auto to = loop::parseEndpoint<udp>(address);
@@ -234,7 +254,7 @@
         });
         return;
     }
-    m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done)};
+    m_impl->pending[id] = {core::Clock::now() + timeout, std::move(done), request.index(), *to};
     const auto bytes = encode(id, request);
     m_impl->count(request, bytes.size());
     m_impl->send(bytes, *to);
@@ -264,7 +284,7 @@
 
 std::uint64_t LoopPeerLink::calls() const
 {
-    return m_impl->lastId;
+    return m_impl->calls;
 }
 
 } // namespace goldcrestline::adapters::peers
