Try a service again that was left out as too slow

Cause: the typical processing time of a service changes with samples only. Responses that a pause of the host itself delayed raised it to 472 ms; from then on the part was left out as late, so that no request was sent and no sample came. Change: a typical processing time above the default decays with a half-life of 2 s while no sample comes, so that the service is tried again within a few seconds.

--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -180,11 +180,23 @@
     return age > stallFactor * expectedMs + stallMarginMs ? stallBasePenaltyMs + age : 0;
 }
 
+double BackendTable::typicalProcessingMs(const Service &service, TimePoint now) const
+{
+    const double excess = service.typicalProcessingMs - m_parameters.defaultLatencyMs;
+    if (service.typicalProcessingMs <= 0)
+        return m_parameters.defaultLatencyMs;
+    if (excess <= 0)
+        return service.typicalProcessingMs;
+    return m_parameters.defaultLatencyMs
+        + excess
+        * decayFactor(core::toMillis(now - service.processingSampledAt),
+                      core::toMillis(m_parameters.typicalHalfLife));
+}
+
 LatencyEstimate BackendTable::estimateAt(const Service &service, const Backend &backend,
                                          TimePoint now) const
 {
-    const double typical = service.typicalProcessingMs > 0 ? service.typicalProcessingMs
-                                                           : m_parameters.defaultLatencyMs;
+    const double typical = typicalProcessingMs(service, now);
     const double weight = backend.processingMs > 0 ? lastSampleWeight(backend, now) : 0;
     LatencyEstimate out;
     out.processingMs = weight * backend.processingMs + (1 - weight) * typical;
@@ -365,6 +377,7 @@
         weight * backend.processingMs + (1 - weight) * service.typicalProcessingMs;
     backend.processingMs = before + latencySampleWeight * (processing - before);
     service.typicalProcessingMs += typicalSampleWeight * (processing - service.typicalProcessingMs);
+    service.processingSampledAt = now;
 }
 
 void BackendTable::updateLatency(Service &service, Backend &backend, double latencyMs,
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -117,6 +117,8 @@
     double crossZonePenaltyMs = 4;
     // Cost of a failed attempt, in ms: about one further round trip and attempt.
     double failurePenaltyMs = 60;
+    // Half-life of the service's typical processing time without samples.
+    core::Duration typicalHalfLife = std::chrono::seconds(2);
     // Half-life of a measured latency, after which the service's typical latency has equal weight.
     core::Duration latencyHalfLife = std::chrono::seconds(2);
     // Cost of a server that refuses every request, in ms: above that of the longest queue in which
@@ -228,6 +230,8 @@
         // Slow moving averages over all servers of the service; 0 before the first sample.
         double typicalMs = 0;
         double typicalProcessingMs = 0;
+        // Time of the last sample of the processing time.
+        core::TimePoint processingSampledAt{};
     };
 
     // A server process that is known to be leaving.
@@ -246,6 +250,9 @@
     // Returns the latency expected of the server when idle: its own average, which decays towards
     // the service's typical latency.
     double expectedMs(const Service &service, const Backend &backend, core::TimePoint now) const;
+    // Returns the service's typical processing time, in ms. A high one decays while no request is
+    // sent, so that a service which is left out as too slow is tried again.
+    double typicalProcessingMs(const Service &service, core::TimePoint now) const;
     // Returns the estimate for a request that is sent to the server now.
     LatencyEstimate estimateAt(const Service &service, const Backend &backend,
                                core::TimePoint now) const;
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -329,3 +329,14 @@
         CHECK(usable() == 1);
     }
 }
+
+TEST_CASE("a service that was left out as too slow is tried again after a while")
+{
+    Table table;
+    auto now = start;
+    // Responses that a pause of this host delayed.
+    table.sendRequests(30, {{"s-a", 900}, {"s-b", 900}, {"s-c", 900}}, now);
+    CHECK(table.backends.estimateLatency("s", 0, now)->responseMs > 400);
+    CHECK(table.backends.estimateLatency("s", 0, now + 1s)->responseMs > 250);
+    CHECK(table.backends.estimateLatency("s", 0, now + 9s)->responseMs < 60);
+}
