Forget held-back entries that a followed host no longer lists

A mutant showed that the guard against bringing back a missing server at a follower is not needed: its entry is held back there as that of a removed server. Without the guard a new follower gets such servers with their mark, as other hosts do. But a held-back entry was not dropped when the followed host removed it, so that it came into use at the end of its time. Test extended first: "a watcher that keeps a missing server does not bring it back at a follower" red (3 servers instead of 2), green after.

--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -223,17 +223,16 @@
             if (!changes.entries.contains(it.first))
                 removed.push_back(it.first);
         }
+        std::erase_if(m_held, [&](const auto &it) { return !changes.entries.contains(it.first); });
     }
     for (const auto &it : changes.entries.items()) {
         if (it.value().is_null()) {
-            if (m_latest.count(it.key()) != 0)
+            if (m_latest.count(it.key()) != 0 || m_held.count(it.key()) != 0)
                 removed.push_back(it.key());
             continue;
         }
-        // Another watcher may have removed a server whose entry this one keeps.
-        const bool missing = it.value().contains(missingMember);
-        if (!missing || m_latest.count(it.key()) != 0)
-            applyPeerEntry(it.key(), it.value(), now);
+        // An entry that another watcher has removed, and this one keeps as missing, is held back.
+        applyPeerEntry(it.key(), it.value(), now);
     }
     for (const auto &it : removed)
         onRemoved(it, now);
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -236,9 +236,6 @@
 mutant missing-used $policy/forward/backend_table.cpp \
     's/if \(backend.missing && /if (false \&\& /' \
     process_tests "a host that lost the store stops using a server that left meanwhile"
-mutant missing-returns packages/daemon/forward/server_list.cpp \
-    's/if \(!missing \|\| /if (true || /' \
-    unit_tests "a watcher that keeps a missing server does not bring it back at a follower"
 mutant late-heartbeat $policy/forward/departed_servers.cpp \
     's/if \(!restored && /if (false \&\& /' \
     unit_tests "a late heartbeat of a removed server does not bring it back"
--- a/tests/unit/server_list_test.cpp
+++ b/tests/unit/server_list_test.cpp
@@ -177,6 +177,11 @@
     follower.follow(watchers[0], start + 2s);
     CHECK(follower.list.ids().size() == 2);
     CHECK(watchers[0].list.ids().size() == 3);
+    watchers[0].list.onRemoved("s1", start + 4s);
+    watchers[0].list.commit(store.version, true, start + 4s);
+    follower.follow(watchers[0], start + 4s);
+    follower.list.tick(start + 10s);
+    CHECK(follower.list.ids().size() == 2);
     CHECK(watchers[0].backends.countAvailable("s", start + 2s) == 2);
 }
 
