--- a/packages/adapters/loop/http_server.h
+++ b/packages/adapters/loop/http_server.h
@@ -67,8 +67,8 @@
     // Disables keep-alive: each further response closes its connection.
     void disableKeepAlive();
 
-    // Stops accepting connections and closes the idle ones. A connection that has just been accepted
-    // is kept for a short time, in which its caller can send its first request.
+    // Stops accepting connections and closes the idle ones. A connection that has just been
+    // accepted is kept for a short time, in which its caller can send its first request.
     void stopAccepting();
 
     // Returns the number of connections with a request that is awaited as the first one, being
