--- /dev/null
+++ b/tests/unit/exchange_client_test.cpp
@@ -0,0 +1,347 @@
+#include "adapters/loop/exchange_client.h"
+
+#include "loop_helpers.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace goldcrestline;
+using namespace goldcrestline::adapters::loop;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ports::ExchangeOutcome;
+using unit::head;
+using unit::runUntil;
+
+namespace {
+
+// TCP server that sends the next entry of `replies` for each request, byte for byte, and optionally
+// closes or resets the connection. Sends nothing after the last entry.
+struct RawServer
+{
+    struct Reply
+    {
+        std::string bytes;
+        bool closeAfter = false;
+        bool reset = false;
+        // Sent again and again after `bytes`, until the client closes the connection.
+        std::string repeated = {};
+    };
+
+    asio::io_context &io;
+    tcp::acceptor acceptor;
+    std::vector<Reply> replies;
+    // Repeated bytes that were sent, and connections on which the client ended them.
+    std::size_t repeatedBytes = 0;
+    int endedRepetitions = 0;
+    std::size_t nextReply = 0;
+    int connections = 0;
+    std::vector<std::string> requests;
+
+    explicit RawServer(asio::io_context &io)
+        : io(io), acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+            if (ec)
+                return;
+            ++connections;
+            serve(std::make_shared<tcp::socket>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void serve(const std::shared_ptr<tcp::socket> &socket)
+    {
+        const auto buf = std::make_shared<std::array<char, 8192>>();
+        socket->async_read_some(asio::buffer(*buf),
+                                [this, socket, buf](boost::system::error_code ec, std::size_t n) {
+                                    if (ec)
+                                        return;
+                                    requests.emplace_back(buf->data(), n);
+                                    sendReply(socket);
+                                });
+    }
+
+    void sendReply(const std::shared_ptr<tcp::socket> &socket)
+    {
+        if (nextReply >= replies.size())
+            return;
+        const auto reply = replies[nextReply++];
+        boost::system::error_code ec;
+        asio::write(*socket, asio::buffer(reply.bytes), ec);
+        if (!reply.repeated.empty())
+            return repeat(socket, std::make_shared<const std::string>(reply.repeated));
+        if (reply.reset)
+            socket->set_option(asio::socket_base::linger(true, 0), ec);
+        if (reply.closeAfter || reply.reset)
+            return socket->close(ec), void();
+        serve(socket);
+    }
+
+    void repeat(const std::shared_ptr<tcp::socket> &socket,
+                const std::shared_ptr<const std::string> &bytes)
+    {
+        asio::async_write(*socket, asio::buffer(*bytes),
+                          [this, socket, bytes](boost::system::error_code ec, std::size_t n) {
+                              repeatedBytes += n;
+                              if (ec) {
+                                  ++endedRepetitions;
+                                  return;
+                              }
+                              repeat(socket, bytes);
+                          });
+    }
+};
+
+// Runs an HTTP client against a RawServer.
+struct ClientFixture
+{
+    asio::io_context io;
+    RawServer server{io};
+    ExchangeClient client;
+
+    explicit ClientFixture(ExchangeOptions options = {}) : client(io, options) { }
+
+    ports::ExchangeResult get(const std::string &identity = {})
+    {
+        ports::ExchangeRequest request;
+        request.commonHead = std::make_shared<const std::string>(head);
+        if (!identity.empty()) {
+            request.identityHeader = "X-Id";
+            request.identity = identity;
+        }
+        std::optional<ports::ExchangeResult> result;
+        client.send(server.address(), std::move(request), core::Clock::now(),
+                    [&](ports::ExchangeResult it) { result = std::move(it); });
+        runUntil(io, [&] { return result.has_value(); });
+        REQUIRE(result);
+        // Lets the client receive bytes that follow the response.
+        io.restart();
+        io.run_for(10ms);
+        return *result;
+    }
+};
+
+const std::string responseA = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\nA";
+const std::string responseB = "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 1\r\n\r\nB";
+
+} // namespace
+TEST_CASE("a connection is reused after a complete response")
+{
+    ClientFixture it;
+    it.server.replies = {{responseA}, {responseB}};
+    CHECK(it.get().body == "A");
+    CHECK(it.get().body == "B");
+    CHECK(it.server.connections == 1);
+}
+
+TEST_CASE("a connection is not reused after a shortened idle timeout")
+{
+    ClientFixture it;
+    it.server.replies = {{responseA}, {responseB}};
+    it.client.setIdleTimeout(301ms);
+    CHECK(it.get().body == "A");
+    CHECK(it.get().body == "B");
+    CHECK(it.server.connections == 2);
+}
+
+TEST_CASE("a connection is not reused after extra bytes behind a response")
+{
+    ClientFixture it;
+    it.server.replies = {{responseA + responseB}, {responseB}};
+    CHECK(it.get().body == "A");
+    CHECK(it.get().body == "B");
+    CHECK(it.server.connections == 2);
+}
+
+TEST_CASE("an unsolicited partial response is not matched to the next request")
+{
+    ClientFixture it;
+    it.server.replies = {{responseA + "HTTP/1.1 200 OK\r\nContent-"}, {responseB}};
+    CHECK(it.get().body == "A");
+    CHECK(it.get().body == "B");
+    CHECK(it.server.connections == 2);
+}
+
+TEST_CASE("a response to an earlier request is dropped by its identity header")
+{
+    ClientFixture it;
+    it.server.replies = {{responseA + responseB}, {responseA}};
+    const auto first = it.get("b");
+    CHECK(first.body == "B");
+    CHECK(it.get("a").body == "A");
+    CHECK(it.server.connections == 2);
+}
+
+TEST_CASE("truncated responses end the exchange as broken with every kind of framing")
+{
+    ClientFixture it;
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    it.server.replies = {
+        {statusLine + "Content-Length: 10\r\n\r\nabc", true},
+        {statusLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc", true},
+        {statusLine + "X-A", true},
+        {"", true},
+        {statusLine + "\r\nabc", false, true},
+        {"SPAM spam\r\n\r\n", true},
+    };
+    for (std::size_t i = 0; i < it.server.replies.size(); ++i) {
+        CAPTURE(i);
+        CHECK(it.get().outcome == ExchangeOutcome::Broken);
+    }
+}
+
+TEST_CASE("a response body without a length is complete only after a clean close")
+{
+    ClientFixture it;
+    it.server.replies = {{"HTTP/1.1 200 OK\r\n\r\nwhole", true}};
+    const auto result = it.get();
+    CHECK(result.outcome == ExchangeOutcome::Answered);
+    CHECK(result.body == "whole");
+}
+
+TEST_CASE("an interim 1xx response does not end the exchange")
+{
+    ClientFixture it;
+    it.server.replies = {{"HTTP/1.1 100 Continue\r\n\r\n" + responseA}};
+    CHECK(it.get().body == "A");
+}
+
+TEST_CASE("a connection is not reused after Connection: close or a Keep-Alive timeout of zero")
+{
+    ClientFixture it;
+    it.server.replies = {{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+                         {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"},
+                         {responseA}};
+    CHECK(it.get().closing);
+    it.get();
+    CHECK(it.get().body == "A");
+    CHECK(it.server.connections == 3);
+}
+
+TEST_CASE("an unreachable address is reported and an aborted exchange calls no handler")
+{
+    asio::io_context io;
+    ExchangeClient client(io, {});
+    std::optional<ports::ExchangeResult> result;
+    ports::ExchangeRequest request;
+    request.commonHead = std::make_shared<const std::string>(head);
+    client.send("127.0.0.1:1", request, core::Clock::now(),
+                [&](ports::ExchangeResult it) { result = std::move(it); });
+    runUntil(io, [&] { return result.has_value(); });
+    REQUIRE(result);
+    CHECK(result->outcome == ExchangeOutcome::NotReached);
+    result.reset();
+    const auto id = client.send("127.0.0.1:1", request, core::Clock::now(),
+                                [&](ports::ExchangeResult it) { result = std::move(it); });
+    client.abort(id);
+    io.restart();
+    io.run_for(20ms);
+    CHECK_FALSE(result);
+    CHECK(client.connectionsOpened() == 2);
+    client.send("no address", request, core::Clock::now(),
+                [&](ports::ExchangeResult it) { result = std::move(it); });
+    runUntil(io, [&] { return result.has_value(); });
+    CHECK(result->outcome == ExchangeOutcome::NotReached);
+}
+
+TEST_CASE("a response without end is broken off at a bound of bytes")
+{
+    ExchangeOptions options;
+    options.maxBodyBytes = 256 << 10;
+    ClientFixture it(options);
+    const std::string block(4096, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto endless = [&](const std::string &start, const std::string &repeated) {
+        return RawServer::Reply{start, false, false, repeated};
+    };
+    it.server.replies = {
+        endless("", block),
+        endless("HTTP/1.1 200 OK\r\nX-A: ", block),
+        endless("HTTP/1.1 200 OK\r\n", "X-A: b\r\n"),
+        endless("HTTP/1.1 200 OK\r\n\r\n", block),
+        endless("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", block),
+        endless(chunked, "1000\r\n" + block + "\r\n"),
+        endless(chunked + "5;", block),
+        endless(chunked + "0\r\n", "X-A: b\r\n"),
+        endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    };
+    const auto replies = it.server.replies.size();
+    // The kernel buffers bytes that the client has not read when it closes the connection.
+    constexpr std::size_t kernelBufferBytes = 16 << 20;
+    for (std::size_t i = 0; i < replies; ++i) {
+        CAPTURE(i);
+        it.server.repeatedBytes = 0;
+        CHECK(it.get().outcome == ExchangeOutcome::Broken);
+        runUntil(it.io, [&] { return it.server.endedRepetitions == static_cast<int>(i) + 1; });
+        CHECK(it.server.endedRepetitions == static_cast<int>(i) + 1);
+        CHECK(it.server.repeatedBytes < kernelBufferBytes);
+    }
+}
+
+TEST_CASE("a response that comes a byte at a time is broken off at the deadline")
+{
+    ClientFixture it;
+    it.server.replies = {{"HTTP/1.1 200 OK\r\nX-A: "}};
+    ports::ExchangeRequest request;
+    request.commonHead = std::make_shared<const std::string>(head);
+    request.deadline = core::Clock::now() + 50ms;
+    std::optional<ports::ExchangeResult> result;
+    it.client.send(it.server.address(), std::move(request), core::Clock::now(),
+                   [&](ports::ExchangeResult done) { result = std::move(done); });
+    runUntil(it.io, [&] {
+        it.client.tick(core::Clock::now());
+        return result.has_value();
+    });
+    REQUIRE(result);
+    CHECK(result->outcome == ExchangeOutcome::TimedOut);
+}
+
+TEST_CASE("large unfinished responses are broken off while all of them exceed their memory")
+{
+    ExchangeOptions options;
+    options.maxBufferedBytes = 64 << 10;
+    options.largeBodyBytes = 20 << 10;
+    ClientFixture it(options);
+    const std::string lengthHead = "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n";
+    for (int i = 0; i < 3; ++i)
+        it.server.replies.push_back({lengthHead + std::string(30 << 10, 'x')});
+    it.server.replies.push_back({responseA});
+    std::vector<ports::ExchangeResult> results;
+    for (int i = 0; i < 3; ++i) {
+        ports::ExchangeRequest request;
+        request.commonHead = std::make_shared<const std::string>(head);
+        it.client.send(it.server.address(), std::move(request), core::Clock::now(),
+                       [&](ports::ExchangeResult done) { results.push_back(std::move(done)); });
+    }
+    runUntil(it.io, [&] { return !results.empty(); });
+    REQUIRE(results.size() == 1);
+    CHECK(results.front().outcome == ExchangeOutcome::Broken);
+    CHECK(it.get().body == "A");
+}
+
+TEST_CASE("a success without the identity header is not taken for the response")
+{
+    ClientFixture it;
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX";
+    // A second copy of an earlier response arrives on a connection that is in use again.
+    it.server.replies = {{responseA}, {unnamed + responseB}, {responseA}};
+    CHECK(it.get("a").body == "A");
+    CHECK(it.get("b").body == "B");
+    CHECK(it.get("a").body == "A");
+    CHECK(it.server.connections == 2);
+}
