Log which requests were running at servers that ended

The logs could not tell a request that arrives again from several others: their ids differ with each arrival. Nor could they tell a server's crash from a connection that was reset.

A request now has a digest of its caller, method, host, target and body, and a host that loses a connection during a request opens one to the same server: it has ended if that is refused while another server accepts one. A checked connection is kept for the next request. Nothing is decided from this yet.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -56,6 +56,8 @@
     ExchangeId exchange = 0;
     ports::ExchangeRequest request;
     ExchangeClient::Done done;
+    // Set while the connection is opened without a request.
+    std::function<void(core::ConnectOutcome)> connectDone;
     std::array<char, readBufferBytes> buf{};
     std::optional<Parser> parser;
     // Received bytes that the parser needs more data to consume.
@@ -145,10 +147,17 @@
         connection->socket.async_connect(*endpoint, [this, connection](error_code ec) {
             if (connection->state != Connection::State::Connecting)
                 return;
+            if (ec == asio::error::connection_refused && connection->connectDone)
+                return finishCheck(connection, core::ConnectOutcome::Refused);
             if (ec)
                 return fail(connection, ExchangeOutcome::NotReached);
             error_code ignored;
             connection->socket.non_blocking(true, ignored);
+            if (connection->connectDone) {
+                keepIdle(connection, options.idleTimeout);
+                startRead(connection);
+                return finishCheck(connection, core::ConnectOutcome::Connected);
+            }
             write(connection);
             startRead(connection);
         });
@@ -298,7 +307,28 @@
             if (!ended && parser.is_done() && isExpectedResponse(*connection))
                 return finish(connection, true);
         }
-        fail(connection, ExchangeOutcome::Broken);
+        fail(connection, ExchangeOutcome::Broken, true);
+    }
+
+    // Ends the check of a connection without a request.
+    void finishCheck(const ConnectionPtr &connection, core::ConnectOutcome outcome)
+    {
+        byId.erase(connection->exchange);
+        connection->exchange = 0;
+        if (outcome != core::ConnectOutcome::Connected)
+            close(connection);
+        std::exchange(connection->connectDone, nullptr)(outcome);
+    }
+
+    // Adds the connection to the pool.
+    void keepIdle(const ConnectionPtr &connection, core::Millis idleTimeout)
+    {
+        const auto now = core::Clock::now();
+        connection->state = Connection::State::Idle;
+        connection->stateSince = now;
+        connection->usableUntil =
+            now + std::min<core::Millis>(options.idleTimeout, idleTimeout) - keepAliveMargin;
+        idlePool[connection->address].push_back(connection);
     }
 
     // Completes the exchange with the parsed response. Closes the connection if it cannot be
@@ -317,7 +347,6 @@
             return fail(connection, ExchangeOutcome::Broken);
         result.closing = !response.keep_alive();
         result.body = std::move(response.body());
-        const auto now = core::Clock::now();
         auto done = std::move(connection->done);
         byId.erase(connection->exchange);
         connection->parser.reset();
@@ -325,31 +354,30 @@
         const bool keep = !notReusable && !connection->desynchronised && !result.closing
             && !connection->request.freshConnection && connection->unsent.empty();
         if (keep) {
-            connection->state = Connection::State::Idle;
-            connection->stateSince = now;
-            const auto idleTimeout = advertisedIdleTimeout(response).value_or(options.idleTimeout);
-            connection->usableUntil =
-                now + std::min<core::Millis>(options.idleTimeout, idleTimeout) - keepAliveMargin;
             connection->request = {};
             connection->done = nullptr;
             connection->exchange = 0;
-            idlePool[connection->address].push_back(connection);
+            keepIdle(connection, advertisedIdleTimeout(response).value_or(options.idleTimeout));
         } else {
             close(connection);
         }
         done(std::move(result));
     }
 
-    // Ends the exchange without a response and closes the connection.
-    void fail(const ConnectionPtr &connection, ExchangeOutcome why)
+    // Ends the exchange without a response and closes the connection. `ended`: the server closed or
+    // reset the connection.
+    void fail(const ConnectionPtr &connection, ExchangeOutcome why, bool ended = false)
     {
         if (connection->state == Connection::State::Closed)
             return;
+        if (connection->connectDone)
+            return finishCheck(connection, core::ConnectOutcome::Failed);
         auto done = std::move(connection->done);
         byId.erase(connection->exchange);
         close(connection);
         ports::ExchangeResult result;
         result.outcome = why;
+        result.connectionEnded = ended;
         if (done)
             done(std::move(result));
     }
@@ -409,6 +437,18 @@
     return id;
 }
 
+void ExchangeClient::checkConnect(const std::string &address, TimePoint now,
+                                  std::function<void(core::ConnectOutcome)> done)
+{
+    auto connection = std::make_shared<Connection>(m_impl->io);
+    connection->address = address;
+    connection->exchange = ++m_impl->lastId;
+    connection->connectDone = std::move(done);
+    connection->stateSince = now;
+    m_impl->byId[connection->exchange] = connection;
+    m_impl->open(connection);
+}
+
 void ExchangeClient::abort(ExchangeId id)
 {
     const auto it = m_impl->byId.find(id);
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/connect_outcome.h"
 #include "ports/exchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,11 @@
     ports::ExchangeId send(const std::string &address, ports::ExchangeRequest request,
                            core::TimePoint now, Done done);
 
+    // Opens a connection without a request, and keeps it for later requests if that succeeds.
+    // `done` is called once, after checkConnect() has returned.
+    void checkConnect(const std::string &address, core::TimePoint now,
+                      std::function<void(core::ConnectOutcome)> done);
+
     // Cancels an exchange and closes its connection; `done` is not called. Unknown ids are ignored.
     void abort(ports::ExchangeId id);
 
--- a/packages/adapters/loop/http_server.cpp
+++ b/packages/adapters/loop/http_server.cpp
@@ -52,6 +52,8 @@
     explicit Session(tcp::socket socket) : socket(std::move(socket)) { }
 
     tcp::socket socket;
+    // Network address of the caller without the port; empty if it disconnected at once.
+    std::string callerAddress;
     SessionState state = SessionState::Idle;
     std::array<char, readBufferBytes> buf{};
     std::optional<Parser> parser;
@@ -174,6 +176,9 @@
         socket.non_blocking(true, ec);
         socket.set_option(tcp::no_delay(true), ec);
         const auto session = std::make_shared<Session>(std::move(socket));
+        const auto caller = session->socket.remote_endpoint(ec);
+        if (!ec)
+            session->callerAddress = caller.address().to_string();
         sessions.insert(session);
         session->startedAt = core::Clock::now();
         session->deadline = session->startedAt + limits.idleTimeout;
@@ -321,6 +326,7 @@
                 {std::string(it.name_string()), std::string(it.value())});
         }
         call.request.body = std::move(message.body());
+        call.callerAddress = session->callerAddress;
         call.respond = [this, weak = std::weak_ptr<Session>(session),
                         id = session->callId](const ports::OutgoingResponse &answer) {
             const auto target = weak.lock();
--- a/packages/adapters/loop/http_server.h
+++ b/packages/adapters/loop/http_server.h
@@ -29,6 +29,8 @@
     // Unique within the server; identifies the call if its caller disconnects.
     std::uint64_t id = 0;
     ports::IncomingRequest request;
+    // Network address of the caller without the port.
+    std::string callerAddress;
     std::function<void(ports::OutgoingResponse)> respond;
 };
 
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -55,7 +55,7 @@
                                adapters::loop::ExchangeClient &client,
                                std::function<double()> random, std::function<bool()> serversKnown)
     : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random)),
-      m_serversKnown(std::move(serversKnown))
+      m_serversKnown(std::move(serversKnown)), m_crashMonitor(backends, client)
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -157,6 +157,9 @@
     running->requestId = metadata.requestId;
     running->head = std::make_shared<const std::string>(platform::sharedHead(call.request));
     running->body = std::make_shared<const std::string>(std::move(call.request.body));
+    running->content = std::make_shared<const policy::quarantine::RequestContent>(
+        std::move(call.callerAddress), call.request.method, metadata.host, call.request.target,
+        running->body);
     running->bodyless = call.request.method == "HEAD";
     running->parts.resize(parts);
     auto &stored = *running;
@@ -204,6 +207,8 @@
     m_backends.onSent(*sendAction.backend, now);
     auto &attempt = m_attempts[sendAction.attempt];
     attempt.call = id;
+    attempt.requestId = running.requestId;
+    attempt.content = running.content;
     attempt.route = running.call.route().name;
     attempt.backend = sendAction.backend;
     attempt.sentAt = now;
@@ -237,6 +242,9 @@
     CallActions actions;
     if (result.outcome != ports::ExchangeOutcome::Answered) {
         const bool reached = result.outcome == ports::ExchangeOutcome::Broken;
+        if (result.connectionEnded)
+            m_crashMonitor.onInterrupted(attempt.backend, {attempt.content, attempt.requestId},
+                                         now);
         recordOutcome(attempt, reached ? AttemptOutcome::Failed : AttemptOutcome::NotReached, now);
         if (running == nullptr)
             return;
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -3,6 +3,7 @@
 #include "adapters/loop/exchange_client.h"
 #include "adapters/loop/http_server.h"
 #include "core/clock.h"
+#include "daemon/forward/crash_monitor.h"
 #include "daemon/forward/forward_counters.h"
 #include "platform/http_messages.h"
 #include "policy/forward/backend_table.h"
@@ -97,6 +98,7 @@
         // Id of the call at the HTTP server.
         std::uint64_t httpCallId = 0;
         std::string requestId;
+        policy::quarantine::RequestContentPtr content;
         std::shared_ptr<const std::string> head;
         std::shared_ptr<const std::string> body;
         bool bodyless = false;
@@ -108,6 +110,8 @@
     struct Attempt
     {
         std::uint64_t call = 0;
+        std::string requestId;
+        policy::quarantine::RequestContentPtr content;
         std::string route;
         policy::forward::BackendPtr backend;
         ports::ExchangeId exchange = 0;
@@ -171,6 +175,7 @@
     policy::forward::ElapsedTimeEstimator m_elapsedTime;
     policy::forward::HedgeDelayTracker m_hedgeDelay;
     policy::forward::CallHooks m_hooks;
+    CrashMonitor m_crashMonitor;
     std::unordered_map<std::string, policy::retry::Budget> m_budgets;
     std::unordered_map<std::uint64_t, std::unique_ptr<RunningCall>> m_calls;
     // Ids of the calls in progress by their id at the HTTP server.
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -114,6 +114,28 @@
     return out;
 }
 
+std::vector<std::string> BackendTable::otherAddresses(const Backend &backend,
+                                                      std::size_t limit) const
+{
+    std::vector<std::string> sameZone;
+    std::vector<std::string> all;
+    for (const auto &it : m_byId) {
+        const auto &record = it.second->record;
+        if (record.leaving || record.address == backend.record.address)
+            continue;
+        all.push_back(record.address);
+        if (record.zone == backend.record.zone)
+            sameZone.push_back(record.address);
+    }
+    auto &out = sameZone.empty() ? all : sameZone;
+    for (std::size_t i = 0; i < std::min(limit, out.size()); ++i) {
+        const auto rest = static_cast<double>(out.size() - i);
+        std::swap(out[i], out[i + static_cast<std::size_t>(m_random() * rest)]);
+    }
+    out.resize(std::min(limit, out.size()));
+    return out;
+}
+
 const BackendTable::Service *BackendTable::find(const std::string &service) const
 {
     const auto it = m_services.find(service);
--- a/packages/ports/exchange.h
+++ b/packages/ports/exchange.h
@@ -92,6 +92,8 @@
     std::string body;
     // The server announced that it closes the connection.
     bool closing = false;
+    // With Broken: the connection was closed or reset before the response was complete.
+    bool connectionEnded = false;
 };
 
 using ExchangeId = std::uint64_t;
--- a/tests/unit/exchange_client_test.cpp
+++ b/tests/unit/exchange_client_test.cpp
@@ -345,3 +345,63 @@
     CHECK(it.get("a").body == "A");
     CHECK(it.server.connections == 2);
 }
+
+TEST_CASE("a connection that is checked is kept for the next request")
+{
+    asio::io_context io;
+    RawServer server(io);
+    server.replies = {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}};
+    ExchangeClient client(io, {});
+    std::optional<core::ConnectOutcome> checked;
+    client.checkConnect(server.address(), core::Clock::now(),
+                        [&](core::ConnectOutcome it) { checked = it; });
+    CHECK_FALSE(checked);
+    runUntil(io, [&] { return checked.has_value(); });
+    CHECK(checked == core::ConnectOutcome::Connected);
+    std::optional<ports::ExchangeResult> result;
+    ports::ExchangeRequest request;
+    request.commonHead = std::make_shared<const std::string>(head);
+    client.send(server.address(), std::move(request), core::Clock::now(),
+                [&](ports::ExchangeResult it) { result = std::move(it); });
+    runUntil(io, [&] { return result.has_value(); });
+    REQUIRE(result);
+    CHECK(result->outcome == ExchangeOutcome::Answered);
+    CHECK(server.connections == 1);
+}
+
+TEST_CASE("a checked address where nothing listens is reported as refused")
+{
+    asio::io_context io;
+    std::string address;
+    {
+        RawServer server(io);
+        address = server.address();
+        boost::system::error_code ec;
+        server.acceptor.close(ec);
+    }
+    ExchangeClient client(io, {});
+    std::optional<core::ConnectOutcome> checked;
+    client.checkConnect(address, core::Clock::now(),
+                        [&](core::ConnectOutcome it) { checked = it; });
+    runUntil(io, [&] { return checked.has_value(); });
+    CHECK(checked == core::ConnectOutcome::Refused);
+}
+
+TEST_CASE("a connection that the server ends before its response is told from a bad response")
+{
+    asio::io_context io;
+    RawServer server(io);
+    server.replies = {{"", true}, {"no http\r\n\r\n"}};
+    ExchangeClient client(io, {});
+    for (const bool ended : {true, false}) {
+        std::optional<ports::ExchangeResult> result;
+        ports::ExchangeRequest request;
+        request.commonHead = std::make_shared<const std::string>(head);
+        client.send(server.address(), std::move(request), core::Clock::now(),
+                    [&](ports::ExchangeResult it) { result = std::move(it); });
+        runUntil(io, [&] { return result.has_value(); });
+        REQUIRE(result);
+        CHECK(result->outcome == ExchangeOutcome::Broken);
+        CHECK(result->connectionEnded == ended);
+    }
+}
