Reproduce requests that crash ever more servers

The stand-in of the servers ends its process on a marked request: it closes its listener and all connections and starts again a second later as a new process. Such a request arrives at three hosts in turn, as an idempotent one, as one that must not run twice, and fanned out; and at a host that was killed and started.

--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -63,7 +63,8 @@
     void setPlatform(const json &faults) const;
     // Writes the entries of all servers to the store again, as their heartbeats do.
     void publishBackends() const;
-    // Changes "mode", "work_ms" or "state" of the servers selected by {"service": S} or {"id": I}.
+    // Changes "mode", "work_ms", "state" or "crash_on" of the servers selected by {"service": S} or
+    // {"id": I}.
     void setBackends(const json &changes) const;
     // Returns whether the platform's store holds an object of this kind and name.
     bool isStored(const std::string &kind, const std::string &name) const;
--- /dev/null
+++ b/tests/process/crashing_requests_test.cpp
@@ -0,0 +1,137 @@
+#include "request_load.h"
+#include "routed_cluster.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+// Requests that crash the servers that run them and arrive again and again, at any host.
+
+using namespace harness;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// Text on which the servers of a CrashingCluster crash.
+const std::string marker = "crashme";
+// Time after the third crash from which the request counts, and the most often that it may reach
+// servers from then on.
+constexpr auto knownAfter = std::chrono::seconds(4);
+constexpr int maxLaterRuns = 3;
+constexpr auto observedTime = std::chrono::seconds(5);
+constexpr auto arrivalInterval = std::chrono::milliseconds(70);
+
+// Hosts and servers, and a request that crashes servers and arrives at the hosts in turn.
+struct CrashingCluster
+{
+    RoutedCluster cluster;
+    std::string path;
+    std::string method;
+    std::string body;
+    int arrivals = 0;
+    // Arrivals that were answered with a status which says that they did not run.
+    int calledNotRun = 0;
+
+    CrashingCluster(int hosts, std::string path, std::string method = "GET", std::string body = {})
+        : cluster(hosts), path(std::move(path)), method(std::move(method)), body(std::move(body))
+    {
+        for (const char *it : {"single", "shard0", "shard1", "shard2"})
+            cluster.setBackends({{"service", it}, {"crash_on", marker}, {"down_s", 1.0}});
+    }
+
+    int crashes() const
+    {
+        int n = 0;
+        for (const auto &it : cluster.runs())
+            n += it.at("crashes").get<int>();
+        return n;
+    }
+
+    // How often servers began to run arrivals of the request.
+    int runs() const
+    {
+        int n = 0;
+        for (const auto &server : cluster.runs()) {
+            for (const auto &it : server.at("ids").items())
+                n += it.key().starts_with("bad-") ? it.value().get<int>() : 0;
+        }
+        return n;
+    }
+
+    void arriveAt(std::size_t host)
+    {
+        const auto id = "bad-" + std::to_string(arrivals++);
+        const auto result = cluster.sendRequest(host, path, id, method, body);
+        CHECK(result.status != 200);
+        calledNotRun += result.status == 503 || result.status == 429 ? 1 : 0;
+    }
+
+    void arriveFor(std::chrono::steady_clock::duration time)
+    {
+        const auto end = Clock::now() + time;
+        while (Clock::now() < end) {
+            arriveAt(static_cast<std::size_t>(arrivals) % cluster.size());
+            std::this_thread::sleep_for(arrivalInterval);
+        }
+    }
+
+    void arriveUntilThirdCrash()
+    {
+        const auto end = Clock::now() + std::chrono::seconds(10);
+        while (crashes() < 3 && Clock::now() < end)
+            arriveFor(arrivalInterval);
+        REQUIRE(crashes() >= 3);
+    }
+};
+
+// Sends the request until the time after which few more runs are allowed, and checks these.
+void checkFewRuns(CrashingCluster &crashing)
+{
+    RequestLoad harmless(crashing.cluster, 0, "/one/x");
+    crashing.arriveUntilThirdCrash();
+    crashing.arriveFor(knownAfter);
+    const int before = crashing.runs();
+    crashing.arriveFor(observedTime);
+    CHECK(crashing.runs() - before <= maxLaterRuns);
+    CHECK(harmless.answered() > 0);
+    harmless.finish();
+}
+
+} // namespace
+
+TEST_CASE("a request that crashed three servers reaches at most three more from any host",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/one/" + marker);
+    checkFewRuns(crashing);
+}
+
+TEST_CASE("a request that may not run twice and crashed three servers reaches at most three more",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/claim/x", "POST", "claim " + marker);
+    checkFewRuns(crashing);
+}
+
+TEST_CASE("a fanned-out request that crashed three servers reaches at most three more",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/all/" + marker);
+    checkFewRuns(crashing);
+}
+
+TEST_CASE("a host that starts learns from its peers which requests crash servers",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/one/" + marker);
+    crashing.arriveUntilThirdCrash();
+    crashing.arriveFor(knownAfter);
+    crashing.cluster.host(1).process->signal(SIGKILL);
+    crashing.cluster.host(1).process->wait();
+    crashing.cluster.start(1);
+    REQUIRE(eventually([&] { return crashing.cluster.ready(1); }));
+    std::this_thread::sleep_for(knownAfter);
+    const int before = crashing.runs();
+    for (int i = 0; i < 5; ++i)
+        crashing.arriveAt(1);
+    CHECK(crashing.runs() == before);
+}
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -1,5 +1,7 @@
 #include "backend_farm.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <stdexcept>
 
@@ -51,12 +53,48 @@
     backend->service = service;
     backend->zone = zones[static_cast<std::size_t>(number) % zones.size()];
     backend->workMs = workMs;
+    startListening(backend, 0);
+    m_backends.push_back(backend);
+    publish(*backend);
+}
+
+void BackendFarm::startListening(const BackendPtr &backend, unsigned short port)
+{
     ListenerHooks hooks;
     hooks.handle = [this, backend](const Request &request, std::shared_ptr<Connection> connection) {
         return serve(request, std::move(connection), backend);
     };
-    backend->acceptor = listen(m_io, 0, std::move(hooks));
-    m_backends.push_back(backend);
+    hooks.admit = [backend](const std::shared_ptr<Connection> &connection) {
+        backend->connections.insert(connection);
+        return true;
+    };
+    hooks.onClosed = [backend](const std::shared_ptr<Connection> &connection) {
+        backend->connections.erase(connection);
+    };
+    backend->acceptor = listen(m_io, port, std::move(hooks));
+}
+
+void BackendFarm::crash(const BackendPtr &backend)
+{
+    if (!backend->acceptor->is_open())
+        return;
+    ++backend->crashes;
+    const auto port = backend->acceptor->local_endpoint().port();
+    boost::system::error_code ec;
+    backend->acceptor->close(ec);
+    for (const auto &it : backend->connections) {
+        it->dropped = true;
+        it->stream.socket().close(ec);
+    }
+    asio::co_spawn(m_io, restartLater(backend, port), asio::detached);
+}
+
+asio::awaitable<void> BackendFarm::restartLater(BackendPtr backend, unsigned short port)
+{
+    co_await sleepFor(std::chrono::milliseconds(static_cast<int>(1000 * backend->downSeconds)));
+    ++backend->startedAt;
+    backend->sequence = 0;
+    startListening(backend, port);
     publish(*backend);
 }
 
@@ -146,6 +184,11 @@
     if (backend->mode == "garble")
         connection->truncated = true;
     co_await sleepFor(std::chrono::milliseconds(static_cast<int>(backend->workMs)));
+    const bool marked =
+        std::string(request.target()).find(backend->crashMarker) != std::string::npos
+        || request.body().find(backend->crashMarker) != std::string::npos;
+    if (!backend->crashMarker.empty() && marked)
+        crash(backend);
     unsigned status = 200;
     if (backend->mode == "fail")
         status = 500;
@@ -170,6 +213,7 @@
             out[it->id] = {{"service", it->service},
                            {"arrivals", it->arrivals},
                            {"runs", it->executions},
+                           {"crashes", it->crashes},
                            {"ids", it->executionsById}};
         co_return makeResponse(200, out.dump());
     }
@@ -186,6 +230,8 @@
         it->saysLeaving = body.value("says_leaving", it->saysLeaving);
         it->restSeconds = body.value("rest_s", it->restSeconds);
         it->limitPerSecond = body.value("limit_per_s", it->limitPerSecond);
+        it->crashMarker = body.value("crash_on", it->crashMarker);
+        it->downSeconds = body.value("down_s", it->downSeconds);
         if (body.value("restart", false)) {
             ++it->startedAt;
             it->sequence = 0;
--- a/tests/standins/backend_farm.h
+++ b/tests/standins/backend_farm.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,12 @@
         double restSeconds = 0;
         // Requests per second that the server names as its limit; 0 for none.
         double limitPerSecond = 0;
+        // The process crashes while it runs a request whose target or body contains this text, and
+        // starts again after the time. Empty for none.
+        std::string crashMarker;
+        double downSeconds = 1;
+        int crashes = 0;
+        std::set<std::shared_ptr<Connection>> connections;
         // Requests that arrived, refused ones included.
         int arrivals = 0;
         // Requests whose execution has begun.
@@ -55,6 +62,11 @@
     using BackendPtr = std::shared_ptr<Backend>;
 
     void addBackend(const std::string &service, int number, double workMs);
+    // Listens at the port, or at any free one if it is 0.
+    void startListening(const BackendPtr &backend, unsigned short port);
+    // Closes the listener and all connections, and starts the process again later.
+    void crash(const BackendPtr &backend);
+    asio::awaitable<void> restartLater(BackendPtr backend, unsigned short port);
     void publish(Backend &backend);
     asio::awaitable<Response> respond(const Request &request,
                                       std::shared_ptr<Connection> connection, BackendPtr backend);
