--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -79,6 +79,25 @@
         to.set(i, from[i]);
 }
 
+void writeCrash(const policy::quarantine::CrashNote &from, wire::CrashNote::Builder to)
+{
+    to.setRequest(from.request);
+    to.setServerId(from.server.id);
+    to.setStartedAt(from.server.startedAt);
+    to.setRepeated(from.repeated);
+    to.setRefuted(from.refuted);
+    to.setAgeMs(from.age.count());
+}
+
+policy::quarantine::CrashNote readCrash(wire::CrashNote::Reader from)
+{
+    return {asString(from.getRequest()),
+            {asString(from.getServerId()), from.getStartedAt()},
+            from.getRepeated(),
+            from.getRefuted(),
+            core::Millis(std::max<std::int64_t>(0, from.getAgeMs()))};
+}
+
 void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to)
 {
     to.setFrom(from.from);
@@ -101,6 +120,10 @@
         notes[i].setServerId(from.leavingServers[i].serverId);
         notes[i].setStartedAt(from.leavingServers[i].startedAt);
     }
+    to.setCrashDigest(from.crashDigest);
+    auto crashes = to.initCrashes(static_cast<unsigned>(from.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i)
+        writeCrash(from.crashes[i], crashes[i]);
 }
 
 ports::Gossip readGossip(wire::Gossip::Reader from)
@@ -123,6 +146,9 @@
         gossip.members.push_back(readMember(it));
     for (const auto it : from.getLeavingServers())
         gossip.leavingServers.push_back({asString(it.getServerId()), it.getStartedAt()});
+    gossip.crashDigest = from.getCrashDigest();
+    for (const auto it : from.getCrashes())
+        gossip.crashes.push_back(readCrash(it));
     return gossip;
 }
 
@@ -271,7 +297,14 @@
 
 ports::DocumentKind kindOf(std::uint8_t number)
 {
-    return number == 0 ? ports::DocumentKind::Lists : ports::DocumentKind::Fleet;
+    switch (number) {
+    case 0:
+        return ports::DocumentKind::Lists;
+    case 2:
+        return ports::DocumentKind::Crashes;
+    default:
+        return ports::DocumentKind::Fleet;
+    }
 }
 
 ports::RunRequest readRun(wire::Message::Run::Reader from)
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -25,6 +25,16 @@
   startedAt @1 :Int64;
 }
 
+# A server process that ended while it ran a request.
+struct CrashNote {
+  request @0 :Text;
+  serverId @1 :Text;
+  startedAt @2 :Int64;
+  repeated @3 :Bool;
+  refuted @4 :Bool;
+  ageMs @5 :Int64;
+}
+
 struct Gossip {
   from @0 :Text;
   members @1 :List(Member);
@@ -45,6 +55,9 @@
   serverDigest @12 :UInt64;
   # Rate of requests of the sender's callers.
   requestsPerSecond @13 :Float32;
+  crashes @14 :List(CrashNote);
+  # Digest of all crash notes of the sender.
+  crashDigest @15 :UInt64;
 }
 
 struct Outcome {
--- a/packages/core/result_code.cpp
+++ b/packages/core/result_code.cpp
@@ -64,6 +64,8 @@
         {NothingInTime, "nothing-in-time", unknown, 504, "No backend server answered in time."},
         {ServersFailed, "servers-failed", unknown, 502,
          "The backend servers that were tried failed."},
+        {CrashesServers, "crashes-servers", unknown, 502,
+         "Backend servers crashed while they ran this request; it is not sent again for a time."},
         {SettingsUnreadable, "settings-unreadable", refused, 400,
          "The settings file cannot be read."},
         {SettingsSyntax, "settings-syntax", refused, 400, "The settings file is not valid TOML."},
--- a/packages/core/result_code.h
+++ b/packages/core/result_code.h
@@ -45,6 +45,7 @@
     RecordedElsewhere = 3004,
     NothingInTime = 3010,
     ServersFailed = 3011,
+    CrashesServers = 3012,
 
     SettingsUnreadable = 4000,
     SettingsSyntax = 4001,
--- a/packages/daemon/forward/crash_monitor.cpp
+++ b/packages/daemon/forward/crash_monitor.cpp
@@ -2,10 +2,16 @@
 
 #include "adapters/logging/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace goldcrestline::daemon::forward {
 
 using core::TimePoint;
 using policy::quarantine::EndCheck;
+using policy::quarantine::Handling;
+using policy::quarantine::ServerProcess;
+using policy::quarantine::ServerState;
 
 namespace {
 
@@ -13,15 +19,22 @@
 
 // Other servers that are tried to find out whether this host reaches any.
 constexpr std::size_t maxComparedServers = 3;
+// Longest time for which a call waits for the state of the server that interrupted it: a few round
+// trips between zones.
+constexpr core::Millis maxHoldTime{30};
+// Time for which an interruption without a result is remembered, in case the server turns out to
+// have ended.
+constexpr core::Duration undecidedTime = std::chrono::seconds(5);
 
 } // namespace
 
 CrashMonitor::CrashMonitor(policy::forward::BackendTable &backends,
-                           adapters::loop::ExchangeClient &client)
-    : m_backends(backends), m_client(client)
+                           adapters::loop::ExchangeClient &client,
+                           policy::quarantine::RequestQuarantine &quarantine)
+    : m_backends(backends), m_client(client), m_quarantine(quarantine)
 { }
 
-CrashMonitor::ProcessKey CrashMonitor::keyOf(const policy::forward::Backend &backend)
+ServerProcess CrashMonitor::processOf(const policy::forward::Backend &backend)
 {
     return {backend.record.id, backend.record.startedAt};
 }
@@ -29,41 +42,133 @@
 void CrashMonitor::onInterrupted(const policy::forward::BackendPtr &backend,
                                  Interruption interruption, TimePoint now)
 {
-    const auto key = keyOf(*backend);
-    const auto it = m_investigations.find(key);
-    if (it != m_investigations.end()) {
-        it->second.interruptions.push_back(std::move(interruption));
+    const auto [it, added] = m_investigations.try_emplace(
+        processOf(*backend), Investigation{backend, {}, EndCheck({}, {}), false, now});
+    it->second.lastInterruptedAt = now;
+    interruption.at = now;
+    it->second.interruptions.push_back(std::move(interruption));
+    startCheck(it->second, now);
+}
+
+void CrashMonitor::startCheck(Investigation &investigation, TimePoint now)
+{
+    if (std::exchange(investigation.checking, true))
         return;
-    }
-    EndCheck check(backend->record.address,
-                   m_backends.otherAddresses(*backend, maxComparedServers));
-    m_investigations.emplace(
-        key, Investigation{backend, std::move(check), {std::move(interruption)}});
-    connectNext(key, now);
+    const auto &backend = *investigation.backend;
+    investigation.check =
+        EndCheck(backend.record.address, m_backends.otherAddresses(backend, maxComparedServers));
+    connectNext(processOf(backend), now);
 }
 
-void CrashMonitor::connectNext(const ProcessKey &key, TimePoint now)
+void CrashMonitor::connectNext(const ServerProcess &process, TimePoint now)
 {
-    const auto address = m_investigations.at(key).check.nextAddress();
+    const auto it = m_investigations.find(process);
+    if (it == m_investigations.end())
+        return;
+    const auto address = it->second.check.nextAddress();
     if (!address)
-        return onChecked(key);
-    m_client.checkConnect(*address, now, [this, key](core::ConnectOutcome outcome) {
-        m_investigations.at(key).check.onConnect(outcome);
-        connectNext(key, core::Clock::now());
+        return onChecked(process, now);
+    m_client.checkConnect(*address, now, [this, process](core::ConnectOutcome outcome) {
+        const auto found = m_investigations.find(process);
+        if (found == m_investigations.end())
+            return;
+        found->second.check.onConnect(outcome);
+        connectNext(process, core::Clock::now());
     });
 }
 
-void CrashMonitor::onChecked(const ProcessKey &key)
+void CrashMonitor::onChecked(const ServerProcess &process, TimePoint now)
+{
+    auto &investigation = m_investigations.at(process);
+    investigation.checking = false;
+    const auto state = investigation.check.result();
+    logState(investigation, state);
+    if (state == ServerState::Ended)
+        return onEnded(process, now);
+    resumeAll(investigation.interruptions, now);
+}
+
+void CrashMonitor::onEnded(const ServerProcess &process, TimePoint now)
 {
-    const auto done = std::move(m_investigations.extract(key).mapped());
-    const auto &record = done.backend->record;
-    const auto state = done.check.result();
-    for (const auto &it : done.interruptions) {
-        log.info("connection ended during a request id=" + it.requestId + " request="
-                 + it.content->digest() + " server=" + record.id + " service=" + record.service
-                 + " state="
+    auto ended = std::move(m_investigations.extract(process).mapped());
+    for (const auto &it : ended.interruptions) {
+        const auto &request = it.request;
+        if (!m_quarantine.onCrash(request, process, it.sentAt, now))
+            continue;
+        ++m_recorded;
+        log.info("server ended while it ran a request id=" + it.requestId + " request=" + request
+                 + " server=" + process.id
+                 + " crashes=" + std::to_string(m_quarantine.crashes(request)));
+        if (m_quarantine.handling(request, now) == Handling::Blocked)
+            log.warning("request blocked request=" + request);
+    }
+    resumeAll(ended.interruptions, now);
+}
+
+void CrashMonitor::logState(const Investigation &investigation, ServerState state)
+{
+    const auto &record = investigation.backend->record;
+    for (const auto &it : investigation.interruptions) {
+        log.info("connection ended during a request id=" + it.requestId + " request=" + it.request
+                 + " server=" + record.id + " service=" + record.service + " state="
                  + std::string(core::nameIn(policy::quarantine::serverStateNames, state)));
     }
 }
 
+void CrashMonitor::resumeAll(std::vector<Interruption> &interruptions, TimePoint now)
+{
+    std::vector<std::function<void(TimePoint)>> waiting;
+    for (auto &it : interruptions) {
+        if (it.resume)
+            waiting.push_back(std::exchange(it.resume, nullptr));
+    }
+    // Last, because a resumed call may send a request whose failure changes the investigations.
+    for (const auto &it : waiting)
+        it(now);
+}
+
+void CrashMonitor::onNotReached(const policy::forward::Backend &backend, TimePoint now)
+{
+    const auto it = m_investigations.find(processOf(backend));
+    if (it != m_investigations.end())
+        startCheck(it->second, now);
+}
+
+void CrashMonitor::onMisdirected(const policy::forward::Backend &backend, TimePoint now)
+{
+    const auto it = m_investigations.find(processOf(backend));
+    if (it == m_investigations.end())
+        return;
+    logState(it->second, ServerState::Ended);
+    onEnded(processOf(backend), now);
+}
+
+void CrashMonitor::tick(TimePoint now)
+{
+    std::vector<std::function<void(TimePoint)>> waiting;
+    for (auto &investigation : m_investigations) {
+        for (auto &it : investigation.second.interruptions) {
+            if (it.resume && now >= it.at + maxHoldTime)
+                waiting.push_back(std::exchange(it.resume, nullptr));
+        }
+    }
+    std::erase_if(m_investigations, [&](const auto &it) {
+        return !it.second.checking && now >= it.second.lastInterruptedAt + undecidedTime;
+    });
+    for (const auto &it : waiting)
+        it(now);
+}
+
+TimePoint CrashMonitor::nextTickAt() const
+{
+    auto next = TimePoint::max();
+    for (const auto &investigation : m_investigations) {
+        for (const auto &it : investigation.second.interruptions) {
+            if (it.resume)
+                next = std::min(next, it.at + maxHoldTime);
+        }
+    }
+    return next;
+}
+
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/crash_monitor.h
+++ b/packages/daemon/forward/crash_monitor.h
@@ -4,8 +4,9 @@
 #include "core/clock.h"
 #include "policy/forward/backend_table.h"
 #include "policy/quarantine/end_check.h"
-#include "policy/quarantine/request_content.h"
+#include "policy/quarantine/request_quarantine.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -16,43 +17,72 @@
 // A request that was running at a server when the connection ended.
 struct Interruption
 {
-    policy::quarantine::RequestContentPtr content;
+    // Digest of the request's content.
+    std::string request;
     // The caller's id of this arrival of the request.
     std::string requestId;
+    core::TimePoint sentAt{};
+    // Called once when the server's state is known, or soon if it takes longer. May be empty.
+    std::function<void(core::TimePoint now)> resume;
+    core::TimePoint at{};
 };
 
-// Finds out which servers ended while they ran requests. Not thread-safe: use only on the event
-// loop's thread.
+// Finds out which servers ended while they ran requests, and records these in the quarantine. Not
+// thread-safe: use only on the event loop's thread.
 class CrashMonitor
 {
 public:
-    // Preconditions: `backends` and `client` outlive this object, and `client` makes no callback
-    // after its destruction.
-    CrashMonitor(policy::forward::BackendTable &backends, adapters::loop::ExchangeClient &client);
+    // Preconditions: the arguments outlive this object, and `client` makes no callback after its
+    // destruction.
+    CrashMonitor(policy::forward::BackendTable &backends, adapters::loop::ExchangeClient &client,
+                 policy::quarantine::RequestQuarantine &quarantine);
 
-    // Records that the connection to the server ended during a request, and starts to check the
-    // server unless a check is in progress.
+    // Records that the connection to the server ended during a request, and checks the server
+    // unless a check is in progress.
     void onInterrupted(const policy::forward::BackendPtr &backend, Interruption interruption,
                        core::TimePoint now);
 
-private:
-    // A server process.
-    using ProcessKey = std::pair<std::string, core::WallMillis>;
+    // Checks the server again if requests were interrupted there lately without a result: it did
+    // not accept a connection.
+    void onNotReached(const policy::forward::Backend &backend, core::TimePoint now);
+
+    // Records that the server's address belongs to another process by now.
+    void onMisdirected(const policy::forward::Backend &backend, core::TimePoint now);
+
+    // Resumes the calls that have waited long enough for a result.
+    void tick(core::TimePoint now);
+
+    // Returns when tick() has to be called next; max if no call waits.
+    core::TimePoint nextTickAt() const;
 
+    // Returns how many crashes this host has recorded.
+    std::uint64_t recorded() const { return m_recorded; }
+
+private:
+    // What is known of one server process at which requests were interrupted.
     struct Investigation
     {
         policy::forward::BackendPtr backend;
-        policy::quarantine::EndCheck check;
         std::vector<Interruption> interruptions;
+        policy::quarantine::EndCheck check;
+        bool checking = false;
+        core::TimePoint lastInterruptedAt{};
     };
 
-    static ProcessKey keyOf(const policy::forward::Backend &backend);
-    void connectNext(const ProcessKey &key, core::TimePoint now);
-    void onChecked(const ProcessKey &key);
+    static policy::quarantine::ServerProcess processOf(const policy::forward::Backend &backend);
+    void startCheck(Investigation &investigation, core::TimePoint now);
+    void connectNext(const policy::quarantine::ServerProcess &process, core::TimePoint now);
+    void onChecked(const policy::quarantine::ServerProcess &process, core::TimePoint now);
+    // Records the crash for all interrupted requests and ends the investigation.
+    void onEnded(const policy::quarantine::ServerProcess &process, core::TimePoint now);
+    static void logState(const Investigation &investigation, policy::quarantine::ServerState state);
+    static void resumeAll(std::vector<Interruption> &interruptions, core::TimePoint now);
 
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
-    std::map<ProcessKey, Investigation> m_investigations;
+    policy::quarantine::RequestQuarantine &m_quarantine;
+    std::map<policy::quarantine::ServerProcess, Investigation> m_investigations;
+    std::uint64_t m_recorded = 0;
 };
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/forward_counters.h
+++ b/packages/daemon/forward/forward_counters.h
@@ -16,6 +16,8 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     std::uint64_t timedOut = 0;
+    // Requests that were not sent on because they crash servers.
+    std::uint64_t blocked = 0;
     // Requests whose caller disconnected before the response.
     std::uint64_t callersDisconnected = 0;
     // Successful responses that lack the parts of some shards.
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -5,12 +5,14 @@
 #include "adapters/loop/http_server.h"
 #include "adapters/loop/wake_timer.h"
 #include "adapters/peers/loop_peer_link.h"
+#include "core/hash.h"
 #include "core/result_code.h"
 #include "daemon/forward/fleet_quota.h"
 #include "daemon/forward/forward_service.h"
 #include "daemon/forward/host_registry.h"
 #include "daemon/forward/metrics.h"
 #include "daemon/forward/platform_copy.h"
+#include "daemon/forward/quarantine_sync.h"
 #include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
 #include "platform/http_messages.h"
@@ -89,11 +91,13 @@
               m_settings->host.zone.value, {},
               [this](const std::string &service) { return connectionLimit(service); },
               [this] { return uniform(); }),
+          m_quarantine({}, [this](const std::string &request) { return rankFor(request); }),
           m_forward(
-              forwardLimits(), m_backends, m_backendClient, [this] { return uniform(); },
-              [this] { return m_copy.serversKnown(); }),
+              forwardLimits(), m_backends, m_backendClient, m_quarantine,
+              [this] { return uniform(); }, [this] { return m_copy.serversKnown(); }),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
+          m_quarantineSync(m_quarantine, m_link),
           m_copy(m_storeClient, m_backends, m_link, entryLifetime(), copyHooks()),
           m_members(makeMemberTable()),
           m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
@@ -166,6 +170,18 @@
             m_quota.receivesCallerTraffic() ? ExchangeOptions().idleTimeout : standbyIdleTimeout);
     }
 
+    // Returns this host's place among the live hosts by rendezvous hashing.
+    std::size_t rankFor(const std::string &key) const
+    {
+        const auto &self = m_members.self().name;
+        const auto own = core::rendezvousWeight(self, key);
+        const auto live = m_members.live();
+        return static_cast<std::size_t>(
+            std::count_if(live.begin(), live.end(), [&](const auto &it) {
+                return it.name != self && core::rendezvousWeight(it.name, key) > own;
+            }));
+    }
+
     // Returns how many connections this host may have to one server of the service.
     int connectionLimit(const std::string &service) const
     {
@@ -220,12 +236,14 @@
                     gossip.leavingServers = m_backends.recentLeavingNotes(now);
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
+                    m_quarantineSync.fillGossip(gossip, now);
                     gossip.requestsPerSecond = static_cast<float>(m_quota.requestsPerSecond());
                 },
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
                        std::optional<TimePoint>, TimePoint now) {
                     m_copy.onGossip(gossip, from.peersAddress, now);
                     noteLeavingServers(gossip, now);
+                    m_quarantineSync.onGossip(gossip, from.peersAddress, now);
                     m_quota.onRequestRate(from.name, gossip.requestsPerSecond, now);
                 }};
     }
@@ -273,11 +291,15 @@
 
     void onPeer(ports::PeerCall call)
     {
-        if (const auto *fetch = std::get_if<ports::FetchRequest>(&call.request))
-            return call.reply(m_copy.handleFetch(fetch->kind));
+        const auto now = core::Clock::now();
+        if (const auto *fetch = std::get_if<ports::FetchRequest>(&call.request)) {
+            return call.reply(fetch->kind == ports::DocumentKind::Crashes
+                                  ? m_quarantineSync.handleFetch(now)
+                                  : m_copy.handleFetch(fetch->kind));
+        }
         if (const auto *follower = std::get_if<ports::CopyRequest>(&call.request))
-            return call.reply(m_copy.handleFollower(*follower, core::Clock::now()));
-        m_membership.handle(std::move(call), core::Clock::now());
+            return call.reply(m_copy.handleFollower(*follower, now));
+        m_membership.handle(std::move(call), now);
     }
 
     adapters::loop::HttpServerHooks callerHooks()
@@ -331,6 +353,8 @@
         gauges.stopping = m_stopping;
         gauges.limitSharePermille =
             static_cast<std::uint64_t>(permillePerUnit * m_quota.demandShare());
+        gauges.requestsSuspected = m_quarantine.requestCount();
+        gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200, {{"Content-Type", "text/plain"}}, formatMetrics(gauges, m_forward.counters())};
     }
 
@@ -468,6 +492,7 @@
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
+            m_quarantineSync.tick(now);
             updateQuota(now);
             updateRole(now);
         }
@@ -509,8 +534,10 @@
     ExchangeClient m_backendClient;
     ExchangeClient m_storeClient;
     policy::forward::BackendTable m_backends;
+    policy::quarantine::RequestQuarantine m_quarantine;
     ForwardService m_forward;
     adapters::peers::LoopPeerLink m_link;
+    QuarantineSync m_quarantineSync;
     PlatformCopy m_copy;
     policy::membership::MemberTable m_members;
     peers::Membership m_membership;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -21,6 +21,8 @@
 using policy::forward::Finish;
 using policy::forward::ReplyKind;
 using policy::forward::Route;
+using policy::forward::SendPermission;
+using policy::quarantine::Handling;
 
 namespace {
 
@@ -30,13 +32,14 @@
 // be reused. It exceeds the pauses of servers and stays below the limit of half a second within
 // which cancelled work has to stop.
 constexpr core::Millis detachedAttemptGrace{250};
-constexpr core::NameTable<CallOutcome, 6> outcomeNames{{
+constexpr core::NameTable<CallOutcome, 7> outcomeNames{{
     {CallOutcome::Passed, "passed"},
     {CallOutcome::PassedFailure, "server failure"},
     {CallOutcome::Merged, "merged"},
     {CallOutcome::Refused, "refused"},
     {CallOutcome::Failed, "failed"},
     {CallOutcome::TimedOut, "timed out"},
+    {CallOutcome::Blocked, "blocked"},
 }};
 
 ports::OutgoingResponse errorResponseFor(ResultCode code, const std::string &detail = {},
@@ -53,9 +56,11 @@
 
 ForwardService::ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                                adapters::loop::ExchangeClient &client,
+                               policy::quarantine::RequestQuarantine &quarantine,
                                std::function<double()> random, std::function<bool()> serversKnown)
     : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random)),
-      m_serversKnown(std::move(serversKnown)), m_crashMonitor(backends, client)
+      m_serversKnown(std::move(serversKnown)), m_quarantine(quarantine),
+      m_crashMonitor(backends, client, quarantine)
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -79,9 +84,38 @@
     m_hooks.hedgeDelay = [this](const std::string &route) {
         return m_hedgeDelay.hedgeDelay(route);
     };
+    m_hooks.permission = [this](std::uint64_t id, TimePoint now) { return permission(id, now); };
     m_hooks.nextAttempt = [this] { return ++m_lastAttempt; };
 }
 
+SendPermission ForwardService::permission(std::uint64_t id, TimePoint now) const
+{
+    const auto &running = *m_calls.at(id);
+    if (running.attemptsHeld > 0)
+        return SendPermission::Later;
+    if (m_quarantine.empty())
+        return SendPermission::Any;
+    const auto &request = running.content->digest();
+    switch (m_quarantine.handling(request, now)) {
+    case Handling::Normal:
+        return SendPermission::Any;
+    case Handling::OneServer:
+        return SendPermission::OneAtATime;
+    case Handling::OneCall:
+        return isRunningElsewhere(id, request) ? SendPermission::Later : SendPermission::OneAtATime;
+    case Handling::Blocked:
+        return SendPermission::Never;
+    }
+    return SendPermission::Any;
+}
+
+bool ForwardService::isRunningElsewhere(std::uint64_t id, const std::string &request) const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &it) {
+        return it.second.call != id && it.second.content->digest() == request;
+    });
+}
+
 policy::retry::Budget &ForwardService::budget(const std::string &service)
 {
     return m_budgets.try_emplace(service, m_limits.extraAttemptShare, m_limits.extraBurst)
@@ -240,25 +274,18 @@
     const auto call = m_calls.find(attempt.call);
     auto *running = call == m_calls.end() ? nullptr : call->second.get();
     CallActions actions;
-    if (result.outcome != ports::ExchangeOutcome::Answered) {
-        const bool reached = result.outcome == ports::ExchangeOutcome::Broken;
-        if (result.connectionEnded)
-            m_crashMonitor.onInterrupted(attempt.backend, {attempt.content, attempt.requestId},
-                                         now);
-        recordOutcome(attempt, reached ? AttemptOutcome::Failed : AttemptOutcome::NotReached, now);
-        if (running == nullptr)
-            return;
-        running->call.onError(id, reached ? AttemptError::Broken : AttemptError::NotReached, now,
-                              actions);
-        return apply(attempt.call, actions, now);
-    }
+    if (result.outcome != ports::ExchangeOutcome::Answered)
+        return onBroken(id, attempt, result, now);
     const auto reply = platform::readServerReply(result);
     if (reply.load) {
         m_backends.onLoadReport(backend, reply.load->running, reply.load->waiting,
                                 reply.load->slots, now);
     }
     noteRequests(backend, reply, now);
+    noteCompletion(attempt, reply, now);
     recordOutcome(attempt, outcomeOf(reply), now);
+    if (reply.kind == ReplyKind::Misdirected)
+        m_crashMonitor.onMisdirected(backend, now);
     if (running == nullptr)
         return;
     if (!reply.usable) {
@@ -270,6 +297,59 @@
     apply(attempt.call, actions, now);
 }
 
+void ForwardService::onBroken(policy::forward::AttemptId id, const Attempt &attempt,
+                              const ports::ExchangeResult &result, TimePoint now)
+{
+    const bool reached = result.outcome == ports::ExchangeOutcome::Broken;
+    recordOutcome(attempt, reached ? AttemptOutcome::Failed : AttemptOutcome::NotReached, now);
+    const auto call = m_calls.find(attempt.call);
+    auto *running = call == m_calls.end() ? nullptr : call->second.get();
+    if (!reached)
+        m_crashMonitor.onNotReached(*attempt.backend, now);
+    // A request that another server ran to its end does not crash servers.
+    if (result.connectionEnded && (running == nullptr || !running->call.completedAnywhere())) {
+        Interruption interruption{attempt.content->digest(), attempt.requestId, attempt.sentAt,
+                                  nullptr};
+        if (running != nullptr) {
+            ++running->attemptsHeld;
+            interruption.resume = [this, id, callId = attempt.call](TimePoint resumedAt) {
+                resumeBroken(id, callId, resumedAt);
+            };
+        }
+        return m_crashMonitor.onInterrupted(attempt.backend, std::move(interruption), now);
+    }
+    if (running == nullptr)
+        return;
+    CallActions actions;
+    running->call.onError(id, reached ? AttemptError::Broken : AttemptError::NotReached, now,
+                          actions);
+    apply(attempt.call, actions, now);
+}
+
+void ForwardService::resumeBroken(policy::forward::AttemptId id, std::uint64_t call, TimePoint now)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return;
+    --it->second->attemptsHeld;
+    CallActions actions;
+    it->second->call.onError(id, AttemptError::Broken, now, actions);
+    apply(call, actions, now);
+}
+
+void ForwardService::noteCompletion(const Attempt &attempt, const platform::ServerReply &reply,
+                                    TimePoint now)
+{
+    const bool completed =
+        reply.usable && (reply.kind == ReplyKind::Success || reply.kind == ReplyKind::Failure);
+    if (!completed || m_quarantine.empty())
+        return;
+    const auto &request = attempt.content->digest();
+    if (m_quarantine.onCompleted(request, now))
+        log.info("server completed a suspected request id=" + attempt.requestId
+                 + " request=" + request + " server=" + attempt.backend->record.id);
+}
+
 void ForwardService::noteRequests(policy::forward::Backend &backend,
                                   const platform::ServerReply &reply, TimePoint now)
 {
@@ -388,6 +468,8 @@
                                 policy::forward::retryDelay(finish.expectedWait, m_random()));
     case CallOutcome::Failed:
         return errorResponseFor(ResultCode::ServersFailed);
+    case CallOutcome::Blocked:
+        return errorResponseFor(ResultCode::CrashesServers);
     case CallOutcome::TimedOut:
         return errorResponseFor(ResultCode::NothingInTime);
     }
@@ -416,6 +498,9 @@
     case CallOutcome::TimedOut:
         ++m_counters.timedOut;
         return;
+    case CallOutcome::Blocked:
+        ++m_counters.blocked;
+        return;
     }
 }
 
@@ -495,13 +580,14 @@
         apply(id, actions, now);
     }
     abortDetached(now);
+    m_crashMonitor.tick(now);
 }
 
 TimePoint ForwardService::nextTickAt() const
 {
-    auto next = TimePoint::max();
+    auto next = m_crashMonitor.nextTickAt();
     if (!m_timers.empty())
-        next = m_timers.begin()->first;
+        next = std::min(next, m_timers.begin()->first);
     if (!m_detached.empty())
         next = std::min(next, m_detached.begin()->first);
     return next;
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -13,6 +13,8 @@
 #include "policy/forward/route.h"
 #include "policy/forward/wait_queue.h"
 #include "policy/forward/weighted_round_robin.h"
+#include "policy/quarantine/request_content.h"
+#include "policy/quarantine/request_quarantine.h"
 #include "policy/retry/budget.h"
 
 #include <map>
@@ -48,10 +50,11 @@
 public:
     // `random` returns a uniform number in [0, 1). `serversKnown` returns whether the server list
     // was loaded: until then a request for a service without a server waits for one.
-    // Precondition: `backends` and `client` outlive this object.
+    // Precondition: `backends`, `client` and `quarantine` outlive this object.
     ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
-                   adapters::loop::ExchangeClient &client, std::function<double()> random,
-                   std::function<bool()> serversKnown);
+                   adapters::loop::ExchangeClient &client,
+                   policy::quarantine::RequestQuarantine &quarantine,
+                   std::function<double()> random, std::function<bool()> serversKnown);
 
     // Replaces the route table. Calls in progress keep the table that they started with.
     void setRoutes(policy::forward::RouteTablePtr table);
@@ -105,6 +108,8 @@
         std::vector<Part> parts;
         // Server response to relay, on a route without fan-out.
         ports::ExchangeResult response;
+        // Attempts whose connection ended and whose server is being checked.
+        int attemptsHeld = 0;
         core::TimePoint timerAt = core::TimePoint::max();
     };
     struct Attempt
@@ -123,6 +128,10 @@
         bool callerDisconnected = false;
     };
 
+    // Returns which attempts a call may send, given what its request did to servers.
+    policy::forward::SendPermission permission(std::uint64_t id, core::TimePoint now) const;
+    // Returns whether another call sent the same content to a server that has not responded yet.
+    bool isRunningElsewhere(std::uint64_t id, const std::string &request) const;
     void begin(adapters::loop::HttpCall &call, const platform::RequestMetadata &metadata,
                const policy::forward::Route &route, core::TimePoint now);
     policy::forward::CallTimes makeCallTimes(const platform::RequestMetadata &metadata,
@@ -142,6 +151,14 @@
                     core::TimePoint now) const;
     void onExchange(policy::forward::AttemptId id, ports::ExchangeResult result,
                     core::TimePoint now);
+    // Handles an attempt without a response.
+    void onBroken(policy::forward::AttemptId id, const Attempt &attempt,
+                  const ports::ExchangeResult &result, core::TimePoint now);
+    // Tells the call that its attempt broke, after the check of the server.
+    void resumeBroken(policy::forward::AttemptId id, std::uint64_t call, core::TimePoint now);
+    // Applies what a response proves about a request that may crash servers.
+    void noteCompletion(const Attempt &attempt, const platform::ServerReply &reply,
+                        core::TimePoint now);
     void onResponse(policy::forward::AttemptId id, const Attempt &attempt,
                     ports::ExchangeResult result, core::TimePoint now);
     // Applies what the server said about itself: that it is leaving, or wants no requests.
@@ -175,6 +192,7 @@
     policy::forward::ElapsedTimeEstimator m_elapsedTime;
     policy::forward::HedgeDelayTracker m_hedgeDelay;
     policy::forward::CallHooks m_hooks;
+    policy::quarantine::RequestQuarantine &m_quarantine;
     CrashMonitor m_crashMonitor;
     std::unordered_map<std::string, policy::retry::Budget> m_budgets;
     std::unordered_map<std::uint64_t, std::unique_ptr<RunningCall>> m_calls;
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -42,6 +42,9 @@
     appendLine(out, "server_rests_total", counters.restsRequested);
     appendLine(out, "servers_limited_total", counters.serversLimited);
     appendLine(out, "limit_share_permille", gauges.limitSharePermille);
+    appendLine(out, "requests_blocked_total", counters.blocked);
+    appendLine(out, "quarantine_requests", gauges.requestsSuspected);
+    appendLine(out, "quarantine_blocked", gauges.requestsBlocked);
     appendLine(out, "store_watching", gauges.storeWatching ? 1 : 0);
     appendLine(out, "store_era", gauges.storeEra);
     appendLine(out, "store_restores_total", gauges.storeRestores);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -34,6 +34,9 @@
     bool stopping = false;
     // Share of the limits of servers, in thousandths.
     std::uint64_t limitSharePermille = 0;
+    // Requests that may crash servers, and those of them that are blocked.
+    std::uint64_t requestsSuspected = 0;
+    std::uint64_t requestsBlocked = 0;
 };
 
 // Returns the metrics in text form, with one name and value per line. Thread-safe.
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -29,6 +29,8 @@
 
 void Call::start(TimePoint now, CallActions &out)
 {
+    if (m_hooks.permission(m_sequence, now) == SendPermission::Never)
+        return finish(CallOutcome::Blocked, out);
     admit(now, out);
     if (m_finished)
         return;
@@ -115,11 +117,42 @@
         && estimate.responseMs - estimate.processingMs > maxQueueingShare * remainingMs;
 }
 
+bool Call::checkPermission(std::size_t part, TimePoint now)
+{
+    auto &state = m_parts[part];
+    state.heldBack = false;
+    switch (m_hooks.permission(m_sequence, now)) {
+    case SendPermission::Any:
+        return true;
+    case SendPermission::OneAtATime:
+        if (m_attempts.empty())
+            return true;
+        break;
+    case SendPermission::Later:
+        break;
+    case SendPermission::Never:
+        m_blocked = true;
+        state.lost = state.inFlight == 0;
+        return false;
+    }
+    state.heldBack = true;
+    waitForRetry(state, now);
+    return false;
+}
+
+void Call::waitForRetry(Part &part, TimePoint now)
+{
+    part.waiting = true;
+    m_retryAt = std::min(m_retryAt, now + retryInterval);
+}
+
 void Call::trySend(std::size_t part, TimePoint now, CallActions &out)
 {
     auto &state = m_parts[part];
     const auto &service = m_services[part];
     state.waiting = false;
+    if (!checkPermission(part, now))
+        return;
     if (auto backend = m_hooks.pick(service, rank(), state.tried, now)) {
         // The first attempt needs no budget.
         if (state.tried.empty() || m_hooks.tryWithdraw(service, now))
@@ -128,8 +161,15 @@
         state.lost = state.inFlight == 0;
         return;
     }
-    state.waiting = true;
-    m_retryAt = std::min(m_retryAt, now + retryInterval);
+    waitForRetry(state, now);
+}
+
+void Call::sendHeldBack(TimePoint now, CallActions &out)
+{
+    for (std::size_t part = 0; part < m_parts.size(); ++part) {
+        if (m_parts[part].heldBack)
+            trySend(part, now, out);
+    }
 }
 
 void Call::sendTo(std::size_t part, const BackendPtr &backend, TimePoint now, CallActions &out)
@@ -220,6 +260,8 @@
     if (m_finished || !removed)
         return;
     auto &part = m_parts[removed->part];
+    if (kind == ReplyKind::Success || kind == ReplyKind::Failure)
+        m_completedAnywhere = true;
     if (part.done)
         return;
     switch (kind) {
@@ -227,6 +269,7 @@
         part.done = true;
         part.waiting = false;
         part.hedgeAt = TimePoint::max();
+        sendHeldBack(now, out);
         return finishIfDecided(now, out);
     case ReplyKind::Failure:
         m_hasFailureResponse = !m_route.fansOut();
@@ -280,6 +323,10 @@
     state.hedgeAt = TimePoint::max();
     if (state.done || state.inFlight != 1 || !mayRetry(state))
         return;
+    if (m_hooks.permission(m_sequence, now) != SendPermission::Any) {
+        state.hedgeAt = now + retryInterval;
+        return;
+    }
     const auto backend = m_hooks.pick(service, rank(), state.tried, now);
     if (!backend) {
         state.hedgeAt = now + retryInterval;
@@ -348,6 +395,8 @@
     const auto success = m_route.fansOut() ? CallOutcome::Merged : CallOutcome::Passed;
     if (done + lost == m_parts.size() && meetsMinShare(done))
         return finish(success, out);
+    if (m_blocked && m_attempts.empty())
+        return finish(CallOutcome::Blocked, out);
     if (!meetsMinShare(m_parts.size() - lost))
         return finishUnanswered(CallOutcome::Failed, out);
     // From the objective on, a partial response is sent instead of waiting for late parts.
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -53,6 +53,19 @@
     Failed,
     // The deadline passed while attempts were in flight.
     TimedOut,
+    // The request crashes servers and is not sent to any more.
+    Blocked,
+};
+
+// Which attempts of a call may be sent, given what its request did to servers.
+enum class SendPermission {
+    Any,
+    // Only while no other attempt of the call is in flight.
+    OneAtATime,
+    // None for now.
+    Later,
+    // None any more.
+    Never,
 };
 
 // Times of one call, on the steady clock.
@@ -126,6 +139,8 @@
     std::function<void(const std::string &service, core::TimePoint now)> deposit;
     // Returns the time after which an attempt of the route is hedged.
     std::function<core::Duration(const std::string &route)> hedgeDelay;
+    // Returns which attempts the call with this sequence number may send.
+    std::function<SendPermission(std::uint64_t sequence, core::TimePoint now)> permission;
     std::function<AttemptId()> nextAttempt;
 };
 
@@ -165,11 +180,12 @@
     const CallTimes &times() const { return m_times; }
     const std::vector<std::string> &services() const { return m_services; }
     // Returns whether the part is queued for any server of its service, so that calls behind it in
-    // rank have to wait. A part that waits for the retry budget, or for a server that it has not
-    // tried yet, does not block others.
+    // rank have to wait. A part that waits for the retry budget, for permission, or for a server
+    // that it has not tried yet, does not block others.
     bool isQueued(std::size_t part) const
     {
-        return m_parts[part].waiting && m_parts[part].tried.empty();
+        const auto &state = m_parts[part];
+        return state.waiting && !state.heldBack && state.tried.empty();
     }
     int attempts() const { return m_attemptsSent; }
     // Returns the part of an attempt in flight; nothing if the attempt has ended.
@@ -180,6 +196,8 @@
     std::vector<std::string> describeParts(core::TimePoint now) const;
     bool hasWaitingParts() const;
     bool partDone(std::size_t part) const { return m_parts[part].done; }
+    // Returns whether a server ran the request to its end, with success or not.
+    bool completedAnywhere() const { return m_completedAnywhere; }
 
 private:
     struct Attempt
@@ -194,8 +212,10 @@
         // The call proceeds without this part: no attempt can complete it any more, or it is
         // estimated to arrive too late.
         bool lost = false;
-        // Waits for server capacity or for the retry budget.
+        // Waits for server capacity, for the retry budget or for permission.
         bool waiting = false;
+        // Waits for permission.
+        bool heldBack = false;
         int inFlight = 0;
         // Attempts that executed the request, may have done so or are in flight.
         int mayHaveExecuted = 0;
@@ -221,6 +241,11 @@
     // Returns whether a request that is estimated to miss the objective should be refused.
     bool shouldRefuse(const LatencyEstimate &estimate, core::TimePoint now) const;
     void trySend(std::size_t part, core::TimePoint now, CallActions &out);
+    // Returns whether an attempt may be sent now. Otherwise the part waits or is lost.
+    bool checkPermission(std::size_t part, core::TimePoint now);
+    // Sends the parts that were held back, as far as permitted by now.
+    void sendHeldBack(core::TimePoint now, CallActions &out);
+    void waitForRetry(Part &part, core::TimePoint now);
     void sendTo(std::size_t part, const BackendPtr &backend, core::TimePoint now, CallActions &out);
     void hedge(std::size_t part, core::TimePoint now, CallActions &out);
     // Finishes the call if its outcome is determined.
@@ -250,6 +275,9 @@
     // A server of a plain route failed the request; its response is forwarded unless a retry
     // succeeds.
     bool m_hasFailureResponse = false;
+    bool m_completedAnywhere = false;
+    // Permission to send was refused for good.
+    bool m_blocked = false;
     bool m_finished = false;
 };
 
--- /dev/null
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+// Stops requests that crash the servers that run them ("queries of death"). Such a request arrives
+// again and again, at any host, so that the hosts tell each other which servers ended while they
+// ran which request.
+namespace goldcrestline::policy::quarantine {
+
+// One start of a server.
+struct ServerProcess
+{
+    std::string id;
+    core::WallMillis startedAt = 0;
+
+    auto operator<=>(const ServerProcess &) const = default;
+};
+
+// A server process that ended while it ran a request, as hosts tell each other.
+struct CrashNote
+{
+    // Digest of the request's content.
+    std::string request;
+    ServerProcess server;
+    // The request was sent to this server some time after another one had crashed.
+    bool repeated = false;
+    // A server has completed the request since, so that this crash had another cause.
+    bool refuted = false;
+    core::Millis age{0};
+};
+
+// How a request may be sent to servers, in ascending order of caution.
+enum class Handling {
+    Normal,
+    // Its call uses one server at a time.
+    OneServer,
+    // The same, and one call of the host at a time.
+    OneCall,
+    Blocked,
+};
+
+struct QuarantineParameters
+{
+    // Crashes from which a request is blocked, if one of them is a repeated one. Without that it may
+    // have been running at servers that ended together for another reason.
+    std::size_t blockingCrashes = 3;
+    // A crash is repeated if the request was sent this long after the first one.
+    core::Duration repeatedAfter = std::chrono::milliseconds(500);
+    // Time after a crash in which the request is handled with caution.
+    core::Duration suspicionTime = std::chrono::minutes(10);
+    // After a block, one call is tried by one host, and by the next one after another such time. A
+    // crash then blocks the request for longer.
+    core::Duration firstBlock = std::chrono::seconds(20);
+    int blockGrowth = 10;
+    core::Duration maxBlock = std::chrono::hours(24);
+    // Time for which a new or changed note is passed on to other hosts.
+    core::Duration newsPeriod = std::chrono::seconds(10);
+    // Requests that are remembered. Those that are not blocked are forgotten first.
+    std::size_t maxRequests = 1000;
+    // Crashes that are remembered of one request.
+    std::size_t maxCrashes = 16;
+};
+
+// The requests that are known to have been running at servers that ended. The notes of all hosts
+// merge in any order, and the same crash counts once. Not thread-safe.
+class RequestQuarantine
+{
+public:
+    // `trialRank` returns this host's place among the hosts that may try a request after its block.
+    explicit RequestQuarantine(
+        QuarantineParameters parameters = {},
+        std::function<std::size_t(const std::string &request)> trialRank = {})
+        : m_parameters(parameters), m_trialRank(std::move(trialRank))
+    { }
+
+    // Returns whether no request is remembered, so that each is handled normally.
+    bool empty() const { return m_requests.empty(); }
+
+    Handling handling(const std::string &request, core::TimePoint now) const;
+
+    // Returns when this host may try a blocked request again; the zero time if it is not blocked.
+    core::TimePoint blockedUntil(const std::string &request) const;
+
+    // Returns the number of servers that count as crashed by the request.
+    std::size_t crashes(const std::string &request) const;
+
+    // Records that a server process ended while it ran the request, which was sent to it at
+    // `sentAt`. Returns whether this was new.
+    bool onCrash(const std::string &request, const ServerProcess &server, core::TimePoint sentAt,
+                 core::TimePoint now);
+
+    // Records that a server ran the request to its end, so that the known crashes had another
+    // cause. Returns whether there were any.
+    bool onCompleted(const std::string &request, core::TimePoint now);
+
+    // Merges the notes of another host. Returns the requests whose handling changed.
+    std::vector<std::string> apply(const std::vector<CrashNote> &notes, core::TimePoint now);
+
+    // Returns the notes that are new or changed lately, the latest first, at most `limit`.
+    std::vector<CrashNote> news(core::TimePoint now, std::size_t limit) const;
+
+    // Returns all notes.
+    std::vector<CrashNote> all(core::TimePoint now) const;
+
+    // Returns a digest of all notes, which is equal on hosts that have the same ones; 0 if none.
+    std::uint64_t digest() const { return m_digest; }
+
+    // Returns when a note was last added or changed; the zero time if never.
+    core::TimePoint changedAt() const { return m_changedAt; }
+
+    // Forgets requests whose time is over. Call periodically.
+    void expire(core::TimePoint now);
+
+    std::size_t requestCount() const { return m_requests.size(); }
+    std::size_t blockedCount(core::TimePoint now) const;
+
+private:
+    struct Crash
+    {
+        bool repeated = false;
+        bool refuted = false;
+        core::TimePoint at{};
+        core::TimePoint changedAt{};
+    };
+    using Crashes = std::map<ServerProcess, Crash>;
+    struct Entry
+    {
+        Crashes crashes;
+        // When a server last ran the request to its end; the zero time if none is known.
+        core::TimePoint completedAt{};
+    };
+
+    // Adds or changes one note; returns whether it says something new.
+    bool merge(const CrashNote &note, core::TimePoint now);
+    static std::size_t count(const Crashes &crashes);
+    // Returns the time of the last crash, and for how long it blocks the request; zero if it does
+    // not.
+    std::pair<core::TimePoint, core::Duration> blockOf(const Crashes &crashes) const;
+    core::TimePoint blockedUntil(const std::string &request, const Crashes &crashes) const;
+    Handling handling(const std::string &request, const Crashes &crashes,
+                      core::TimePoint now) const;
+    core::TimePoint expiresAt(const Crashes &crashes) const;
+    void limitSize(core::TimePoint now);
+    void erase(std::map<std::string, Entry>::iterator request);
+    static std::uint64_t hashOf(const std::string &request, const Crashes::value_type &crash);
+    static CrashNote makeNote(const std::string &request, const Crashes::value_type &crash,
+                              core::TimePoint now);
+
+    QuarantineParameters m_parameters;
+    std::function<std::size_t(const std::string &)> m_trialRank;
+    std::map<std::string, Entry> m_requests;
+    core::TimePoint m_changedAt{};
+    // Combined hashes of all notes.
+    std::uint64_t m_digest = 0;
+};
+
+} // namespace goldcrestline::policy::quarantine
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -4,6 +4,7 @@
 #include "core/version.h"
 #include "policy/idempotency/ledger.h"
 #include "policy/membership/member.h"
+#include "policy/quarantine/request_quarantine.h"
 #include "policy/routing/server_table.h"
 
 #include <cstdint>
@@ -38,6 +39,10 @@
     std::uint64_t storeEra = 0;
     // Requests per second that the sender gets from callers.
     float requestsPerSecond = 0;
+    // New notes of servers that ended while they ran requests, and a digest of all notes that the
+    // sender has; 0 if none.
+    std::vector<policy::quarantine::CrashNote> crashes;
+    std::uint64_t crashDigest = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
@@ -54,8 +59,9 @@
     bool reached = false;
 };
 
-// Replicated documents: the operators' lists, and the servers of the services.
-enum class DocumentKind { Lists, Fleet };
+// Replicated documents: the operators' lists, the servers of the services, and the notes of servers
+// that ended while they ran requests.
+enum class DocumentKind { Lists, Fleet, Crashes };
 
 // Requests the receiver's copy of a document.
 struct FetchRequest
--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -86,13 +86,20 @@
 // Sends the request until the time after which few more runs are allowed, and checks these.
 void checkFewRuns(CrashingCluster &crashing)
 {
+    // One caller that repeats a request, so that it runs at servers as they crash.
     RequestLoad harmless(crashing.cluster, 0, "/one/x");
     crashing.arriveUntilThirdCrash();
     crashing.arriveFor(knownAfter);
     const int before = crashing.runs();
+    const int notServed = harmless.notServed();
+    const int served = harmless.answered();
+    crashing.calledNotRun = 0;
     crashing.arriveFor(observedTime);
     CHECK(crashing.runs() - before <= maxLaterRuns);
-    CHECK(harmless.answered() > 0);
+    // The earlier arrivals have run.
+    CHECK(crashing.calledNotRun == 0);
+    CHECK(harmless.notServed() == notServed);
+    CHECK(harmless.answered() > served + 100);
     harmless.finish();
 }
 
@@ -135,3 +142,38 @@
         crashing.arriveAt(1);
     CHECK(crashing.runs() == before);
 }
+
+TEST_CASE("requests that run at servers which end for another reason are served again",
+          "[process][routes]")
+{
+    RoutedCluster cluster(3);
+    std::vector<std::unique_ptr<RequestLoad>> loads;
+    for (std::size_t n = 0; n < cluster.size(); ++n) {
+        loads.push_back(std::make_unique<RequestLoad>(cluster, n, "/one/x"));
+        loads.push_back(std::make_unique<RequestLoad>(cluster, n, "/all/x"));
+    }
+    const auto crashAll = [&] {
+        for (const char *it : {"single", "shard0", "shard1", "shard2"})
+            cluster.setBackends({{"service", it}, {"crash", true}});
+    };
+    // All servers together, and then each one in turn while the others serve.
+    for (int i = 0; i < 3; ++i) {
+        crashAll();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    }
+    for (int i = 0; i < 8; ++i) {
+        cluster.setBackends({{"id", "i-single-" + std::to_string(i % 4)}, {"crash", true}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    for (std::size_t n = 0; n < cluster.size(); ++n) {
+        CHECK(cluster.metric(n, "quarantine_blocked") == 0);
+        CHECK(cluster.metric(n, "requests_blocked_total") == 0);
+    }
+    for (const auto &it : loads) {
+        const int notServed = it->notServed();
+        const int served = it->answered();
+        REQUIRE(eventually([&] { return it->answered() > served + 50; }));
+        CHECK(it->notServed() == notServed);
+    }
+}
--- a/tests/process/request_load.h
+++ b/tests/process/request_load.h
@@ -42,6 +42,16 @@
         return m_statuses;
     }
 
+    // Requests without a response of status 200 so far.
+    int notServed()
+    {
+        const std::lock_guard lock(m_mutex);
+        int n = m_notReached + m_interrupted;
+        for (const auto &it : m_statuses)
+            n += it.first == 200 ? 0 : it.second;
+        return n;
+    }
+
     // Responses with status 200 so far.
     int answered()
     {
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -232,6 +232,8 @@
         it->limitPerSecond = body.value("limit_per_s", it->limitPerSecond);
         it->crashMarker = body.value("crash_on", it->crashMarker);
         it->downSeconds = body.value("down_s", it->downSeconds);
+        if (body.value("crash", false))
+            crash(it);
         if (body.value("restart", false)) {
             ++it->startedAt;
             it->sequence = 0;
--- a/tests/unit/call_environment.h
+++ b/tests/unit/call_environment.h
@@ -28,6 +28,7 @@
     std::map<std::string, policy::retry::Budget> budgets;
     AttemptId lastAttempt = 0;
     int extraAttempts = 0;
+    SendPermission permission = SendPermission::Any;
     CallHooks hooks;
 
     CallEnvironment()
@@ -64,6 +65,7 @@
             budgets.try_emplace(service, 0.2, 3).first->second.deposit();
         };
         hooks.hedgeDelay = [](const std::string &) { return core::Duration(20ms); };
+        hooks.permission = [this](std::uint64_t, TimePoint) { return permission; };
         hooks.nextAttempt = [this] { return ++lastAttempt; };
     }
 
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -70,6 +70,55 @@
     CHECK(driver.sends.size() == 1);
 }
 
+TEST_CASE("a blocked request is not sent and is answered at once")
+{
+    CallEnvironment environment;
+    environment.add("s", 3);
+    environment.permission = SendPermission::Never;
+    CallDriver driver(environment, makePlainRoute(Idempotency::Idempotent));
+    CHECK(driver.sends.empty());
+    REQUIRE(driver.finishes.size() == 1);
+    CHECK(driver.finishes[0].outcome == CallOutcome::Blocked);
+}
+
+TEST_CASE("a request that may crash servers uses one server at a time")
+{
+    CallEnvironment environment;
+    environment.permission = SendPermission::OneAtATime;
+    SECTION("without a hedge")
+    {
+        environment.add("s", 3);
+        CallDriver driver(environment, makePlainRoute(Idempotency::Idempotent));
+        driver.advanceTo(start + 60ms);
+        CHECK(driver.sends.size() == 1);
+        CHECK_FALSE(driver.call.isQueued(0));
+        driver.reportError(0, AttemptError::Broken, start + 61ms);
+        CHECK(driver.sends.size() == 2);
+    }
+    SECTION("with one shard first, and the others after its success")
+    {
+        for (int i = 0; i < 3; ++i)
+            environment.add("shard" + std::to_string(i), 2);
+        CallDriver driver(environment, makeFanoutRoute(3, 1));
+        CHECK(driver.sends.size() == 1);
+        environment.permission = SendPermission::Any;
+        driver.reply(0, ReplyKind::Success, start + 5ms);
+        CHECK(driver.sends.size() == 3);
+    }
+    SECTION("and no more once it is blocked")
+    {
+        for (int i = 0; i < 3; ++i)
+            environment.add("shard" + std::to_string(i), 2);
+        CallDriver driver(environment, makeFanoutRoute(3, 0.5));
+        environment.permission = SendPermission::Never;
+        driver.reportError(0, AttemptError::Broken, start + 5ms);
+        driver.advanceTo(start + 15ms);
+        CHECK(driver.sends.size() == 1);
+        REQUIRE(driver.finishes.size() == 1);
+        CHECK(driver.finishes[0].outcome == CallOutcome::Blocked);
+    }
+}
+
 TEST_CASE("a request to a service without servers is refused at once")
 {
     CallEnvironment environment;
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -86,6 +86,7 @@
             budget(service).deposit();
         };
         m_hooks.hedgeDelay = [](const std::string &) { return core::Duration(40ms); };
+        m_hooks.permission = [](std::uint64_t, TimePoint) { return SendPermission::Any; };
         m_hooks.nextAttempt = [this] { return ++m_lastAttempt; };
     }
 
