Recognize a crashing request also from other callers and with another query

A request now has up to three digests, from the content with its caller and query to the path and body alone. Each counts on its own and the request is handled as the most suspect of them. A wide one is cleared as soon as any request that it covers runs to its end.

Tests: the one with changing queries is red with the digests of before by construction (each arrival differs); the others as before.

--- a/packages/daemon/forward/crash_monitor.cpp
+++ b/packages/daemon/forward/crash_monitor.cpp
@@ -91,26 +91,37 @@
 void CrashMonitor::onEnded(const ServerProcess &process, TimePoint now)
 {
     auto ended = std::move(m_investigations.extract(process).mapped());
-    for (const auto &it : ended.interruptions) {
-        const auto &request = it.request;
-        if (!m_quarantine.onCrash(request, process, it.sentAt, now))
-            continue;
-        ++m_recorded;
-        log.info("server ended while it ran a request id=" + it.requestId + " request=" + request
-                 + " server=" + process.id
-                 + " crashes=" + std::to_string(m_quarantine.crashes(request)));
-        if (m_quarantine.handling(request, now) == Handling::Blocked)
-            log.warning("request blocked request=" + request);
-    }
+    for (const auto &it : ended.interruptions)
+        recordCrash(it, process, now);
     resumeAll(ended.interruptions, now);
 }
 
+void CrashMonitor::recordCrash(const Interruption &interruption, const ServerProcess &process,
+                               TimePoint now)
+{
+    std::size_t crashes = 0;
+    bool added = false;
+    for (const auto &it : interruption.digests) {
+        added |= m_quarantine.onCrash(it, process, interruption.sentAt, now);
+        crashes = std::max(crashes, m_quarantine.crashes(it));
+    }
+    if (!added)
+        return;
+    ++m_recorded;
+    log.info("server ended while it ran a request id=" + interruption.requestId
+             + " request=" + interruption.digests.back() + " server=" + process.id
+             + " crashes=" + std::to_string(crashes));
+    if (m_quarantine.handling(interruption.digests, now) == Handling::Blocked)
+        log.warning("request blocked request=" + interruption.digests.back());
+}
+
 void CrashMonitor::logState(const Investigation &investigation, ServerState state)
 {
     const auto &record = investigation.backend->record;
     for (const auto &it : investigation.interruptions) {
-        log.info("connection ended during a request id=" + it.requestId + " request=" + it.request
-                 + " server=" + record.id + " service=" + record.service + " state="
+        log.info("connection ended during a request id=" + it.requestId
+                 + " request=" + it.digests.back() + " server=" + record.id
+                 + " service=" + record.service + " state="
                  + std::string(core::nameIn(policy::quarantine::serverStateNames, state)));
     }
 }
--- a/packages/daemon/forward/crash_monitor.h
+++ b/packages/daemon/forward/crash_monitor.h
@@ -17,8 +17,8 @@
 // A request that was running at a server when the connection ended.
 struct Interruption
 {
-    // Digest of the request's content.
-    std::string request;
+    // The digests of the request.
+    std::vector<std::string> digests;
     // The caller's id of this arrival of the request.
     std::string requestId;
     core::TimePoint sentAt{};
@@ -75,6 +75,8 @@
     void onChecked(const policy::quarantine::ServerProcess &process, core::TimePoint now);
     // Records the crash for all interrupted requests and ends the investigation.
     void onEnded(const policy::quarantine::ServerProcess &process, core::TimePoint now);
+    void recordCrash(const Interruption &interruption,
+                     const policy::quarantine::ServerProcess &process, core::TimePoint now);
     static void logState(const Investigation &investigation, policy::quarantine::ServerState state);
     static void resumeAll(std::vector<Interruption> &interruptions, core::TimePoint now);
 
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -95,24 +95,26 @@
         return SendPermission::Later;
     if (m_quarantine.empty())
         return SendPermission::Any;
-    const auto &request = running.content->digest();
-    switch (m_quarantine.handling(request, now)) {
+    switch (m_quarantine.handling(running.content->digests(), now)) {
     case Handling::Normal:
         return SendPermission::Any;
     case Handling::OneServer:
         return SendPermission::OneAtATime;
     case Handling::OneCall:
-        return isRunningElsewhere(id, request) ? SendPermission::Later : SendPermission::OneAtATime;
+        return isRunningElsewhere(id, *running.content) ? SendPermission::Later
+                                                        : SendPermission::OneAtATime;
     case Handling::Blocked:
         return SendPermission::Never;
     }
     return SendPermission::Any;
 }
 
-bool ForwardService::isRunningElsewhere(std::uint64_t id, const std::string &request) const
+bool ForwardService::isRunningElsewhere(std::uint64_t id,
+                                        const policy::quarantine::RequestContent &content) const
 {
+    const auto &widest = content.digests().back();
     return std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &it) {
-        return it.second.call != id && it.second.content->digest() == request;
+        return it.second.call != id && it.second.content->digests().back() == widest;
     });
 }
 
@@ -308,7 +310,7 @@
         m_crashMonitor.onNotReached(*attempt.backend, now);
     // A request that another server ran to its end does not crash servers.
     if (result.connectionEnded && (running == nullptr || !running->call.completedAnywhere())) {
-        Interruption interruption{attempt.content->digest(), attempt.requestId, attempt.sentAt,
+        Interruption interruption{attempt.content->digests(), attempt.requestId, attempt.sentAt,
                                   nullptr};
         if (running != nullptr) {
             ++running->attemptsHeld;
@@ -344,10 +346,12 @@
         reply.usable && (reply.kind == ReplyKind::Success || reply.kind == ReplyKind::Failure);
     if (!completed || m_quarantine.empty())
         return;
-    const auto &request = attempt.content->digest();
-    if (m_quarantine.onCompleted(request, now))
-        log.info("server completed a suspected request id=" + attempt.requestId
-                 + " request=" + request + " server=" + attempt.backend->record.id);
+    bool refuted = false;
+    for (const auto &it : attempt.content->digests())
+        refuted |= m_quarantine.onCompleted(it, now);
+    if (refuted)
+        log.info("server completed a suspected request id=" + attempt.requestId + " request="
+                 + attempt.content->digests().back() + " server=" + attempt.backend->record.id);
 }
 
 void ForwardService::noteRequests(policy::forward::Backend &backend,
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -131,7 +131,8 @@
     // Returns which attempts a call may send, given what its request did to servers.
     policy::forward::SendPermission permission(std::uint64_t id, core::TimePoint now) const;
     // Returns whether another call sent the same content to a server that has not responded yet.
-    bool isRunningElsewhere(std::uint64_t id, const std::string &request) const;
+    bool isRunningElsewhere(std::uint64_t id,
+                            const policy::quarantine::RequestContent &content) const;
     void begin(adapters::loop::HttpCall &call, const platform::RequestMetadata &metadata,
                const policy::forward::Route &route, core::TimePoint now);
     policy::forward::CallTimes makeCallTimes(const platform::RequestMetadata &metadata,
--- a/packages/daemon/forward/quarantine_sync.cpp
+++ b/packages/daemon/forward/quarantine_sync.cpp
@@ -17,7 +17,7 @@
 
 constexpr adapters::logging::LogChannel log("quarantine:");
 
-constexpr std::size_t maxNotesPerMessage = 8;
+constexpr std::size_t maxNotesPerMessage = 12;
 // Time for new notes to arrive with probes, before all notes of a peer are fetched.
 constexpr core::Duration newsTime = std::chrono::milliseconds(1500);
 constexpr core::Millis fetchTimeout{1000};
@@ -113,9 +113,9 @@
 {
     for (const auto &request : m_quarantine.apply(notes, now)) {
         const bool blocked = m_quarantine.handling(request, now) == Handling::Blocked;
-        log.info(std::string(blocked ? "request blocked" : "request changed") + " request="
-                 + request + " crashes=" + std::to_string(m_quarantine.crashes(request))
-                 + " from=" + from);
+        log.info(std::string(blocked ? "request blocked" : "request changed")
+                 + " request=" + request
+                 + " crashes=" + std::to_string(m_quarantine.crashes(request)) + " from=" + from);
     }
 }
 
--- a/packages/daemon/forward/quarantine_sync.h
+++ b/packages/daemon/forward/quarantine_sync.h
@@ -8,9 +8,9 @@
 
 namespace goldcrestline::daemon::forward {
 
-// Keeps the quarantines of the hosts equal: new notes travel with the probes, and a host whose notes
-// differ from another's for some time, as after a start or a cut, fetches them all. Not thread-safe:
-// use only on the event loop's thread.
+// Keeps the quarantines of the hosts equal: new notes travel with the probes, and a host whose
+// notes differ from another's for some time, as after a start or a cut, fetches them all. Not
+// thread-safe: use only on the event loop's thread.
 class QuarantineSync
 {
 public:
--- a/packages/policy/quarantine/request_content.cpp
+++ b/packages/policy/quarantine/request_content.cpp
@@ -32,17 +32,24 @@
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
 }
 
-const std::string &RequestContent::digest() const
+const std::vector<std::string> &RequestContent::digests() const
 {
-    if (!m_digest.empty())
-        return m_digest;
-    std::string text;
-    for (const auto *it : {&m_caller, &m_method, &m_host, &m_target})
-        appendField(text, *it);
-    if (m_body)
-        appendField(text, *m_body);
-    m_digest = core::hmacHex(digestKey, text);
-    return m_digest;
+    if (!m_digests.empty())
+        return m_digests;
+    static const std::string none;
+    const auto &body = m_body ? *m_body : none;
+    const auto path = m_target.substr(0, m_target.find('?'));
+    const auto digestOf = [&](const std::string &scope, const std::string &target) {
+        std::string text;
+        for (const auto *it : {&scope, &m_method, &m_host, &target, &body})
+            appendField(text, *it);
+        return core::hmacHex(digestKey, text);
+    };
+    m_digests = {digestOf("caller " + m_caller, m_target)};
+    if (path.size() != m_target.size())
+        m_digests.push_back(digestOf("content", m_target));
+    m_digests.push_back(digestOf("path", path));
+    return m_digests;
 }
 
 } // namespace goldcrestline::policy::quarantine
--- a/packages/policy/quarantine/request_content.h
+++ b/packages/policy/quarantine/request_content.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace goldcrestline::policy::quarantine {
 
@@ -14,9 +15,12 @@
     RequestContent(std::string caller, std::string method, std::string host, std::string target,
                    std::shared_ptr<const std::string> body);
 
-    // Returns a cryptographic hash, so that no caller can build a request with the digest of
-    // another caller's. Equal on all hosts. Computed on the first call.
-    const std::string &digest() const;
+    // Returns digests of the request from the narrowest scope to the widest: the content and its
+    // caller; the content, if it has a query; and the content without the query. What makes a
+    // server crash may be in each of them, and a wide one is cleared as soon as any request that it
+    // covers runs to its end. The digests are cryptographic, so that no caller can build a request
+    // with the digest of another one. Equal on all hosts. Computed on the first call.
+    const std::vector<std::string> &digests() const;
 
 private:
     std::string m_caller;
@@ -24,7 +28,7 @@
     std::string m_host;
     std::string m_target;
     std::shared_ptr<const std::string> m_body;
-    mutable std::string m_digest;
+    mutable std::vector<std::string> m_digests;
 };
 
 using RequestContentPtr = std::shared_ptr<const RequestContent>;
--- a/packages/policy/quarantine/request_quarantine.cpp
+++ b/packages/policy/quarantine/request_quarantine.cpp
@@ -73,8 +73,15 @@
 Handling RequestQuarantine::handling(const std::string &request, TimePoint now) const
 {
     const auto it = m_requests.find(request);
-    return it == m_requests.end() ? Handling::Normal
-                                  : handling(request, it->second.crashes, now);
+    return it == m_requests.end() ? Handling::Normal : handling(request, it->second.crashes, now);
+}
+
+Handling RequestQuarantine::handling(const std::vector<std::string> &digests, TimePoint now) const
+{
+    auto out = Handling::Normal;
+    for (const auto &it : digests)
+        out = std::max(out, handling(it, now));
+    return out;
 }
 
 std::size_t RequestQuarantine::crashes(const std::string &request) const
@@ -86,10 +93,9 @@
 std::uint64_t RequestQuarantine::hashOf(const std::string &request,
                                         const Crashes::value_type &crash)
 {
-    return core::stableHash(request + ' ' + crash.first.id + ' '
-                            + std::to_string(crash.first.startedAt)
-                            + (crash.second.repeated ? " repeated" : "")
-                            + (crash.second.refuted ? " refuted" : ""));
+    return core::stableHash(
+        request + ' ' + crash.first.id + ' ' + std::to_string(crash.first.startedAt)
+        + (crash.second.repeated ? " repeated" : "") + (crash.second.refuted ? " refuted" : ""));
 }
 
 bool RequestQuarantine::merge(const CrashNote &note, TimePoint now)
@@ -237,7 +243,8 @@
     while (m_requests.size() > m_parameters.maxRequests) {
         // The least cautiously handled request, and of these the one that expires first.
         const auto rank = [&](const auto &it) {
-            return std::pair(handling(it.first, it.second.crashes, now), expiresAt(it.second.crashes));
+            return std::pair(handling(it.first, it.second.crashes, now),
+                             expiresAt(it.second.crashes));
         };
         erase(std::min_element(m_requests.begin(), m_requests.end(),
                                [&](const auto &a, const auto &b) { return rank(a) < rank(b); }));
--- a/packages/policy/quarantine/request_quarantine.h
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -12,7 +12,8 @@
 
 // Stops requests that crash the servers that run them ("queries of death"). Such a request arrives
 // again and again, at any host, so that the hosts tell each other which servers ended while they
-// ran which request.
+// ran which request. A request is known by the digests of its RequestContent; each of them is
+// treated as a request of its own here.
 namespace goldcrestline::policy::quarantine {
 
 // One start of a server.
@@ -27,7 +28,7 @@
 // A server process that ended while it ran a request, as hosts tell each other.
 struct CrashNote
 {
-    // Digest of the request's content.
+    // A digest of the request.
     std::string request;
     ServerProcess server;
     // The request was sent to this server some time after another one had crashed.
@@ -49,8 +50,8 @@
 
 struct QuarantineParameters
 {
-    // Crashes from which a request is blocked, if one of them is a repeated one. Without that it may
-    // have been running at servers that ended together for another reason.
+    // Crashes from which a request is blocked, if one of them is a repeated one. Without that it
+    // may have been running at servers that ended together for another reason.
     std::size_t blockingCrashes = 3;
     // A crash is repeated if the request was sent this long after the first one.
     core::Duration repeatedAfter = std::chrono::milliseconds(500);
@@ -85,6 +86,8 @@
     bool empty() const { return m_requests.empty(); }
 
     Handling handling(const std::string &request, core::TimePoint now) const;
+    // Returns the most cautious handling of the digests.
+    Handling handling(const std::vector<std::string> &digests, core::TimePoint now) const;
 
     // Returns when this host may try a blocked request again; the zero time if it is not blocked.
     core::TimePoint blockedUntil(const std::string &request) const;
--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -28,6 +28,8 @@
     std::string method;
     std::string body;
     int arrivals = 0;
+    // Each arrival has another query.
+    bool varyQuery = false;
     // Arrivals that were answered with a status which says that they did not run.
     int calledNotRun = 0;
 
@@ -60,7 +62,8 @@
     void arriveAt(std::size_t host)
     {
         const auto id = "bad-" + std::to_string(arrivals++);
-        const auto result = cluster.sendRequest(host, path, id, method, body);
+        const auto target = varyQuery ? path + "?n=" + std::to_string(arrivals) : path;
+        const auto result = cluster.sendRequest(host, target, id, method, body);
         CHECK(result.status != 200);
         calledNotRun += result.status == 503 || result.status == 429 ? 1 : 0;
     }
@@ -119,6 +122,14 @@
     checkFewRuns(crashing);
 }
 
+TEST_CASE("a request that crashed three servers with changing queries reaches at most three more",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/one/" + marker);
+    crashing.varyQuery = true;
+    checkFewRuns(crashing);
+}
+
 TEST_CASE("a fanned-out request that crashed three servers reaches at most three more",
           "[process][routes]")
 {
--- a/tests/unit/end_check_test.cpp
+++ b/tests/unit/end_check_test.cpp
@@ -40,13 +40,23 @@
     CHECK(check({}, {Refused}) == ServerState::Unknown);
 }
 
-TEST_CASE("the digest of a request tells callers, targets and bodies apart")
+TEST_CASE("the digests of a request cover its caller, its content and its path")
 {
-    const auto digest = contentOf("10.0.0.1", "/a?b=1", "body")->digest();
-    CHECK(contentOf("10.0.0.1", "/a?b=1", "body")->digest() == digest);
-    CHECK(contentOf("10.0.0.1", "/a?b=1", "body", "A.Example")->digest() == digest);
-    CHECK(contentOf("10.0.0.2", "/a?b=1", "body")->digest() != digest);
-    CHECK(contentOf("10.0.0.1", "/a?b=2", "body")->digest() != digest);
-    CHECK(contentOf("10.0.0.1", "/a?b=1", "bodY")->digest() != digest);
-    CHECK(contentOf("10.0.0.1", "/a?b=1b", "ody")->digest() != digest);
+    const auto digests = contentOf("10.0.0.1", "/a?b=1", "body")->digests();
+    REQUIRE(digests.size() == 3);
+    const auto equalFrom = [&](const RequestContentPtr &other) {
+        std::size_t i = 0;
+        while (i < digests.size() && digests[i] != other->digests()[i])
+            ++i;
+        return i;
+    };
+    CHECK(equalFrom(contentOf("10.0.0.1", "/a?b=1", "body")) == 0);
+    CHECK(equalFrom(contentOf("10.0.0.1", "/a?b=1", "body", "A.Example")) == 0);
+    CHECK(equalFrom(contentOf("10.0.0.2", "/a?b=1", "body")) == 1);
+    CHECK(equalFrom(contentOf("10.0.0.1", "/a?b=2", "body")) == 2);
+    CHECK(equalFrom(contentOf("10.0.0.1", "/a?b=1", "bodY")) == 3);
+    CHECK(equalFrom(contentOf("10.0.0.1", "/a?b=1b", "ody")) == 3);
+    const auto withoutQuery = contentOf("10.0.0.1", "/a", "body")->digests();
+    CHECK(withoutQuery.size() == 2);
+    CHECK(withoutQuery.back() == digests.back());
 }
