Reproduce a fanned-out request that crashes more servers than needed to know it

One arrival crashes 5 of 3 shards' servers (one try beyond the shards allowed), three arrivals at three hosts within 0.2 s crash 8 (6 allowed).

--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -137,6 +137,35 @@
     checkFewRuns(crashing);
 }
 
+TEST_CASE("a fanned-out request that crashed its servers is tried at one more, also by another host",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/all/" + marker);
+    constexpr int shards = 3;
+    crashing.arriveAt(0);
+    CHECK(crashing.crashes() <= shards + 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    crashing.arriveAt(1);
+    crashing.arriveAt(2);
+    CHECK(crashing.crashes() <= shards + 3);
+}
+
+TEST_CASE("a crashing fanned-out request is found while most other servers are down",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/all/" + marker);
+    for (const char *it : {"single", "left", "right"})
+        crashing.cluster.setBackends({{"service", it}, {"down_s", 60.0}, {"crash", true}});
+    const int before = crashing.crashes();
+    const auto end = Clock::now() + std::chrono::seconds(10);
+    while (crashing.crashes() < before + 3 && Clock::now() < end)
+        crashing.arriveFor(arrivalInterval);
+    crashing.arriveFor(knownAfter);
+    const int runs = crashing.runs();
+    crashing.arriveFor(observedTime);
+    CHECK(crashing.runs() - runs <= maxLaterRuns);
+}
+
 TEST_CASE("a host that starts learns from its peers which requests crash servers",
           "[process][routes]")
 {
