Try a fanned-out request that crashed its servers at one more only

Causes: after its shards' servers had crashed, a call went on to try the second server of one shard after the other, since each try was allowed while no other was in flight. Other hosts heard of it with the next probes, up to 0.3 s later, and sent the request to all shards before. And a server counted as ended only where another one of its zone accepted a connection; with ten shards down together those asked were down too, so that the crash was not counted.

Now a call makes one try from the second known crash on; a host that records a crash tells all hosts at once, at most each 250 ms; the servers to compare with are of any zone, those in use first, up to six; and a check without a result is repeated for 5 s. A host that is cut off from one zone may now count an end that was none; a block still needs a request that was sent to a server 500 ms after the first such end, and a completed one clears it.

--- a/packages/daemon/forward/crash_monitor.cpp
+++ b/packages/daemon/forward/crash_monitor.cpp
@@ -18,10 +18,12 @@
 constexpr adapters::logging::LogChannel log("crash:");
 
 // Other servers that are tried to find out whether this host reaches any.
-constexpr std::size_t maxComparedServers = 3;
+constexpr std::size_t maxComparedServers = 6;
 // Longest time for which a call waits for the state of the server that interrupted it: a few round
 // trips between zones.
 constexpr core::Millis maxHoldTime{30};
+// Interval between checks of a server whose state is not known.
+constexpr core::Duration recheckInterval = std::chrono::milliseconds(250);
 // Time for which an interruption without a result is remembered, in case the server turns out to
 // have ended.
 constexpr core::Duration undecidedTime = std::chrono::seconds(5);
@@ -30,8 +32,10 @@
 
 CrashMonitor::CrashMonitor(policy::forward::BackendTable &backends,
                            adapters::loop::ExchangeClient &client,
-                           policy::quarantine::RequestQuarantine &quarantine)
-    : m_backends(backends), m_client(client), m_quarantine(quarantine)
+                           policy::quarantine::RequestQuarantine &quarantine,
+                           std::function<void()> onRecorded)
+    : m_backends(backends), m_client(client), m_quarantine(quarantine),
+      m_onRecorded(std::move(onRecorded))
 { }
 
 ServerProcess CrashMonitor::processOf(const policy::forward::Backend &backend)
@@ -55,8 +59,8 @@
     if (std::exchange(investigation.checking, true))
         return;
     const auto &backend = *investigation.backend;
-    investigation.check =
-        EndCheck(backend.record.address, m_backends.otherAddresses(backend, maxComparedServers));
+    investigation.check = EndCheck(backend.record.address,
+                                   m_backends.otherAddresses(backend, maxComparedServers, now));
     connectNext(processOf(backend), now);
 }
 
@@ -85,6 +89,8 @@
     logState(investigation, state);
     if (state == ServerState::Ended)
         return onEnded(process, now);
+    investigation.recheckAt =
+        state == ServerState::Unknown ? now + recheckInterval : TimePoint::max();
     resumeAll(investigation.interruptions, now);
 }
 
@@ -107,7 +113,7 @@
     }
     if (!added)
         return;
-    ++m_recorded;
+    m_onRecorded();
     log.info("server ended while it ran a request id=" + interruption.requestId
              + " request=" + interruption.digests.back() + " server=" + process.id
              + " crashes=" + std::to_string(crashes));
@@ -166,6 +172,10 @@
     std::erase_if(m_investigations, [&](const auto &it) {
         return !it.second.checking && now >= it.second.lastInterruptedAt + undecidedTime;
     });
+    for (auto &it : m_investigations) {
+        if (!it.second.checking && now >= it.second.recheckAt)
+            startCheck(it.second, now);
+    }
     for (const auto &it : waiting)
         it(now);
 }
--- a/packages/daemon/forward/crash_monitor.h
+++ b/packages/daemon/forward/crash_monitor.h
@@ -32,10 +32,11 @@
 class CrashMonitor
 {
 public:
-    // Preconditions: the arguments outlive this object, and `client` makes no callback after its
-    // destruction.
+    // `onRecorded` is called for each crash that this host records. Preconditions: the references
+    // outlive this object, and `client` makes no callback after its destruction.
     CrashMonitor(policy::forward::BackendTable &backends, adapters::loop::ExchangeClient &client,
-                 policy::quarantine::RequestQuarantine &quarantine);
+                 policy::quarantine::RequestQuarantine &quarantine,
+                 std::function<void()> onRecorded);
 
     // Records that the connection to the server ended during a request, and checks the server
     // unless a check is in progress.
@@ -49,15 +50,12 @@
     // Records that the server's address belongs to another process by now.
     void onMisdirected(const policy::forward::Backend &backend, core::TimePoint now);
 
-    // Resumes the calls that have waited long enough for a result.
+    // Resumes the calls that have waited long enough for a result, and repeats checks.
     void tick(core::TimePoint now);
 
     // Returns when tick() has to be called next; max if no call waits.
     core::TimePoint nextTickAt() const;
 
-    // Returns how many crashes this host has recorded.
-    std::uint64_t recorded() const { return m_recorded; }
-
 private:
     // What is known of one server process at which requests were interrupted.
     struct Investigation
@@ -67,6 +65,7 @@
         policy::quarantine::EndCheck check;
         bool checking = false;
         core::TimePoint lastInterruptedAt{};
+        core::TimePoint recheckAt = core::TimePoint::max();
     };
 
     static policy::quarantine::ServerProcess processOf(const policy::forward::Backend &backend);
@@ -84,7 +83,7 @@
     adapters::loop::ExchangeClient &m_client;
     policy::quarantine::RequestQuarantine &m_quarantine;
     std::map<policy::quarantine::ServerProcess, Investigation> m_investigations;
-    std::uint64_t m_recorded = 0;
+    std::function<void()> m_onRecorded;
 };
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -20,6 +20,7 @@
 #include "policy/entrypoints/processor_load_estimator.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <filesystem>
@@ -67,6 +68,8 @@
 // take.
 constexpr int missedHeartbeats = 3;
 constexpr core::Millis heartbeatMargin{1000};
+// Shortest interval between messages to all hosts about crashes.
+constexpr core::Millis crashNewsInterval{250};
 constexpr std::size_t maxLeavingNotesPerMessage = 16;
 // Upper bound on the addresses in a resolve response.
 constexpr std::size_t maxAddresses = 8;
@@ -94,7 +97,8 @@
           m_quarantine({}, [this](const std::string &request) { return rankFor(request); }),
           m_forward(
               forwardLimits(), m_backends, m_backendClient, m_quarantine,
-              [this] { return uniform(); }, [this] { return m_copy.serversKnown(); }),
+              [this] { return uniform(); }, [this] { return m_copy.serversKnown(); },
+              [this] { onCrashRecorded(); }),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_quarantineSync(m_quarantine, m_link),
@@ -465,6 +469,23 @@
         }
     }
 
+    void onCrashRecorded()
+    {
+        m_crashNewsPending = true;
+        // Several servers may end together.
+        asio::post(m_io, [this] { sendCrashNews(core::Clock::now()); });
+    }
+
+    // Tells all hosts of new crashes at once, since their callers may repeat the request there.
+    void sendCrashNews(TimePoint now)
+    {
+        if (!m_crashNewsPending || now < m_crashNewsAt)
+            return;
+        m_crashNewsPending = false;
+        m_crashNewsAt = now + crashNewsInterval;
+        m_membership.exchangeWithAll(now);
+    }
+
     void onTimer()
     {
         const auto now = core::Clock::now();
@@ -480,6 +501,7 @@
     void runMaintenance(TimePoint now)
     {
         m_backendClient.tick(now);
+        sendCrashNews(now);
         m_storeClient.tick(now);
         if (!m_copy.serversKnown())
             updateRole(now);
@@ -558,6 +580,9 @@
     TimePoint m_settingsCheckAt{};
     TimePoint m_trafficLogAt{};
     std::filesystem::file_time_type m_settingsTime{};
+    // This host recorded crashes that it has not sent to the others yet, and when it may.
+    bool m_crashNewsPending = false;
+    TimePoint m_crashNewsAt{};
     bool m_stopping = false;
     bool m_acceptStopped = false;
     TimePoint m_drainUntil{};
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -57,10 +57,11 @@
 ForwardService::ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                                adapters::loop::ExchangeClient &client,
                                policy::quarantine::RequestQuarantine &quarantine,
-                               std::function<double()> random, std::function<bool()> serversKnown)
+                               std::function<double()> random, std::function<bool()> serversKnown,
+                               std::function<void()> onCrashRecorded)
     : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random)),
       m_serversKnown(std::move(serversKnown)), m_quarantine(quarantine),
-      m_crashMonitor(backends, client, quarantine)
+      m_crashMonitor(backends, client, quarantine, std::move(onCrashRecorded))
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -102,7 +103,7 @@
         return SendPermission::OneAtATime;
     case Handling::OneCall:
         return isRunningElsewhere(id, *running.content) ? SendPermission::Later
-                                                        : SendPermission::OneAtATime;
+                                                        : SendPermission::Once;
     case Handling::Blocked:
         return SendPermission::Never;
     }
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -50,11 +50,13 @@
 public:
     // `random` returns a uniform number in [0, 1). `serversKnown` returns whether the server list
     // was loaded: until then a request for a service without a server waits for one.
+    // `onCrashRecorded` is called when this host adds a crash to the quarantine.
     // Precondition: `backends`, `client` and `quarantine` outlive this object.
     ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                    adapters::loop::ExchangeClient &client,
                    policy::quarantine::RequestQuarantine &quarantine,
-                   std::function<double()> random, std::function<bool()> serversKnown);
+                   std::function<double()> random, std::function<bool()> serversKnown,
+                   std::function<void()> onCrashRecorded);
 
     // Replaces the route table. Calls in progress keep the table that they started with.
     void setRoutes(policy::forward::RouteTablePtr table);
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -114,25 +114,24 @@
     return out;
 }
 
-std::vector<std::string> BackendTable::otherAddresses(const Backend &backend,
-                                                      std::size_t limit) const
+std::vector<std::string> BackendTable::otherAddresses(const Backend &backend, std::size_t limit,
+                                                      TimePoint now) const
 {
-    std::vector<std::string> sameZone;
-    std::vector<std::string> all;
+    std::vector<const Backend *> others;
     for (const auto &it : m_byId) {
-        const auto &record = it.second->record;
-        if (record.leaving || record.address == backend.record.address)
-            continue;
-        all.push_back(record.address);
-        if (record.zone == backend.record.zone)
-            sameZone.push_back(record.address);
+        if (it.second->record.address != backend.record.address)
+            others.push_back(it.second.get());
     }
-    auto &out = sameZone.empty() ? all : sameZone;
-    for (std::size_t i = 0; i < std::min(limit, out.size()); ++i) {
-        const auto rest = static_cast<double>(out.size() - i);
-        std::swap(out[i], out[i + static_cast<std::size_t>(m_random() * rest)]);
+    for (std::size_t i = 0; i + 1 < others.size(); ++i) {
+        const auto rest = static_cast<double>(others.size() - i);
+        std::swap(others[i], others[i + static_cast<std::size_t>(m_random() * rest)]);
     }
-    out.resize(std::min(limit, out.size()));
+    std::stable_partition(others.begin(), others.end(), [&](const Backend *it) {
+        return it->consecutiveFailures == 0 && usable(m_services.at(it->record.service), *it, now);
+    });
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < std::min(limit, others.size()); ++i)
+        out.push_back(others[i]->record.address);
     return out;
 }
 
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -168,9 +168,10 @@
     // that lapse in an outage do so together. Unknown ids are ignored.
     void setMissing(const std::string &id, bool missing);
 
-    // Returns the addresses of up to `limit` other servers in use, in random order: those of the
-    // server's zone, or of any if it has no other.
-    std::vector<std::string> otherAddresses(const Backend &backend, std::size_t limit) const;
+    // Returns the addresses of up to `limit` other servers, in random order; those that are in use
+    // first.
+    std::vector<std::string> otherAddresses(const Backend &backend, std::size_t limit,
+                                            core::TimePoint now) const;
 
     // Returns the ids of all listed servers.
     std::vector<std::string> ids() const;
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -128,12 +128,21 @@
         if (m_attempts.empty())
             return true;
         break;
-    case SendPermission::Later:
-        break;
+    case SendPermission::Once:
+        if (!m_attempts.empty())
+            break;
+        if (!m_sentOnce) {
+            m_sentOnce = true;
+            return true;
+        }
+        state.lost = state.inFlight == 0;
+        return false;
     case SendPermission::Never:
         m_blocked = true;
         state.lost = state.inFlight == 0;
         return false;
+    case SendPermission::Later:
+        break;
     }
     state.heldBack = true;
     waitForRetry(state, now);
@@ -282,6 +291,7 @@
     case ReplyKind::NotExecuted:
     case ReplyKind::Misdirected:
         --part.mayHaveExecuted;
+        m_sentOnce = false;
         break;
     }
     if (part.inFlight == 0) {
@@ -298,8 +308,10 @@
     if (m_finished || !removed)
         return;
     auto &part = m_parts[removed->part];
-    if (error == AttemptError::NotReached)
+    if (error == AttemptError::NotReached) {
         --part.mayHaveExecuted;
+        m_sentOnce = false;
+    }
     if (!part.done && part.inFlight == 0) {
         part.lost = !mayRetry(part);
         if (!part.lost)
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -62,6 +62,8 @@
     Any,
     // Only while no other attempt of the call is in flight.
     OneAtATime,
+    // The same, and none after one that may have been executed.
+    Once,
     // None for now.
     Later,
     // None any more.
@@ -278,6 +280,8 @@
     bool m_completedAnywhere = false;
     // Permission to send was refused for good.
     bool m_blocked = false;
+    // Permission to send once was used, and that attempt may have been executed.
+    bool m_sentOnce = false;
     bool m_finished = false;
 };
 
--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -137,8 +137,9 @@
     checkFewRuns(crashing);
 }
 
-TEST_CASE("a fanned-out request that crashed its servers is tried at one more, also by another host",
-          "[process][routes]")
+TEST_CASE(
+    "a fanned-out request that crashed its servers is tried at one more, also by another host",
+    "[process][routes]")
 {
     CrashingCluster crashing(3, "/all/" + marker);
     constexpr int shards = 3;
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -119,6 +119,31 @@
     }
 }
 
+TEST_CASE("a call that may send once ends with that attempt")
+{
+    CallEnvironment environment;
+    environment.permission = SendPermission::Once;
+    for (int i = 0; i < 3; ++i)
+        environment.add("shard" + std::to_string(i), 2);
+    CallDriver driver(environment, makeFanoutRoute(3, 1));
+    REQUIRE(driver.sends.size() == 1);
+    SECTION("if it breaks")
+    {
+        driver.reportError(0, AttemptError::Broken, start + 5ms);
+        driver.advanceTo(start + 15ms);
+        CHECK(driver.sends.size() == 1);
+        REQUIRE(driver.finishes.size() == 1);
+        CHECK(driver.finishes[0].outcome == CallOutcome::Failed);
+    }
+    SECTION("unless it was not executed")
+    {
+        driver.reportError(0, AttemptError::NotReached, start + 5ms);
+        driver.advanceTo(start + 15ms);
+        CHECK(driver.sends.size() == 2);
+        CHECK(driver.finishes.empty());
+    }
+}
+
 TEST_CASE("a request to a service without servers is refused at once")
 {
     CallEnvironment environment;
