Reproduce hosts that are cut off from all servers

The proxies of the tests can leave connecting unanswered (a full queue of connections to accept) or refuse it while the port stays theirs, and replace the servers' addresses on the way from the store, so that one host of three reaches each server through a proxy of its own.

--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -178,6 +178,15 @@
         throw std::runtime_error("POST /admin/set failed on the server stand-ins");
 }
 
+std::vector<std::string> RoutedCluster::serverAddresses(const std::string &store)
+{
+    std::vector<std::string> out;
+    const auto list = json::parse(get(store + "/objects/servers").body);
+    for (const auto &it : list.at("items"))
+        out.push_back(it.at("spec").at("address").get<std::string>());
+    return out;
+}
+
 bool RoutedCluster::isStored(const std::string &kind, const std::string &name) const
 {
     return get(m_platformAddress + "/objects/" + kind + "/" + name).status == 200;
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -70,12 +70,15 @@
     bool isStored(const std::string &kind, const std::string &name) const;
     // Deletes an object from the platform's store.
     void removeStored(const std::string &kind, const std::string &name) const;
+    // Returns the addresses of all servers, from their entries in the store at `store`.
+    static std::vector<std::string> serverAddresses(const std::string &store);
     // Returns the calls that the platform stand-in received, by kind.
     json platformCounters() const;
     // Returns how often each server executed requests, in total and by request id.
     json runs() const;
 
     RoutedHost &host(std::size_t n) { return m_hosts[n]; }
+    const RoutedHost &host(std::size_t n) const { return m_hosts[n]; }
     std::size_t size() const { return m_hosts.size(); }
 
 private:
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 
 namespace soak {
 
@@ -41,13 +43,18 @@
 };
 
 FaultProxy::FaultProxy(unsigned short port, std::string target)
-    : m_acceptor(m_io, {asio::ip::address_v4::loopback(), port})
+    : m_acceptor(m_io, {asio::ip::address_v4::loopback(), port}),
+      m_endpoint(m_acceptor.local_endpoint())
 {
     const auto colon = target.rfind(':');
     m_target = {asio::ip::make_address(target.substr(0, colon)),
                 static_cast<unsigned short>(std::stoi(target.substr(colon + 1)))};
     accept();
-    m_thread = std::thread([this] { m_io.run(); });
+    m_thread = std::thread([this] {
+        // Nothing is pending while connections are refused.
+        const auto work = asio::make_work_guard(m_io);
+        m_io.run();
+    });
 }
 
 FaultProxy::~FaultProxy()
@@ -58,7 +65,43 @@
 
 std::string FaultProxy::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_endpoint.port());
+}
+
+void FaultProxy::setListenMode(ListenMode mode)
+{
+    std::promise<void> applied;
+    asio::post(m_io, [&] {
+        applyListenMode(mode);
+        applied.set_value();
+    });
+    applied.get_future().wait();
+}
+
+void FaultProxy::applyListenMode(ListenMode mode)
+{
+    if (mode == m_listenMode)
+        return;
+    m_listenMode = mode;
+    error_code ec;
+    m_acceptor.cancel(ec);
+    m_fillers.clear();
+    if (mode == ListenMode::Refuse) {
+        // Stops listening and keeps the port.
+        ::shutdown(m_acceptor.native_handle(), SHUT_RD);
+        return;
+    }
+    if (mode == ListenMode::Accept) {
+        m_acceptor.listen();
+        return accept();
+    }
+    // The kernel drops the packets of further connections once this queue is full.
+    m_acceptor.listen(0);
+    constexpr int fillers = 2;
+    for (int i = 0; i < fillers; ++i) {
+        auto &filler = m_fillers.emplace_back(std::make_unique<tcp::socket>(m_io));
+        filler->async_connect(m_endpoint, [](error_code) {});
+    }
 }
 
 void FaultProxy::reset(bool onlyLost)
@@ -75,7 +118,7 @@
 void FaultProxy::accept()
 {
     m_acceptor.async_accept([this](error_code ec, tcp::socket socket) {
-        if (ec == asio::error::operation_aborted)
+        if (ec == asio::error::operation_aborted || m_listenMode != ListenMode::Accept)
             return;
         if (!ec) {
             auto link = std::make_shared<Link>(m_io, std::move(socket));
@@ -120,10 +163,22 @@
         if (lost)
             return pump(link, request);
         const auto &bytes = request ? link->requestBuf : link->responseBuf;
-        deliver(link, request, std::string(bytes.data(), n));
+        std::string text(bytes.data(), n);
+        if (!request)
+            replaceTexts(text);
+        deliver(link, request, std::move(text));
     });
 }
 
+void FaultProxy::replaceTexts(std::string &bytes) const
+{
+    for (const auto &it : m_replacements) {
+        for (auto at = bytes.find(it.first); at != std::string::npos;
+             at = bytes.find(it.first, at + it.second.size()))
+            bytes.replace(at, it.first.size(), it.second);
+    }
+}
+
 void FaultProxy::deliver(const std::shared_ptr<Link> &link, bool request, std::string bytes)
 {
     auto &timer = request ? link->requestTimer : link->responseTimer;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -20,6 +21,14 @@
     DropResponses,
 };
 
+// How a proxy treats new connections.
+enum class ListenMode {
+    Accept,
+    // Connecting gets no answer, as over a link that drops packets.
+    Ignore,
+    Refuse,
+};
+
 // Status of the response with which a proxy tells a client that the target refused the connection.
 inline constexpr int refusedStatus = 599;
 
@@ -37,6 +46,14 @@
     std::string address() const;
 
     void setMode(ProxyMode mode) { m_mode = mode; }
+    // Takes effect before the method returns.
+    void setListenMode(ListenMode mode);
+    // Replaces texts in the bytes to the client, each by one of the same length. A text that is
+    // split between two reads is missed. Call before the first connection.
+    void setReplacements(std::map<std::string, std::string> texts)
+    {
+        m_replacements = std::move(texts);
+    }
     void setDelay(int ms) { m_delayMs = ms; }
     // Resets all connections.
     void resetAll() { reset(false); }
@@ -48,6 +65,8 @@
     struct Link;
 
     void reset(bool onlyLost);
+    void applyListenMode(ListenMode mode);
+    void replaceTexts(std::string &bytes) const;
     void accept();
     void refuse(const std::shared_ptr<Link> &link);
     void pump(const std::shared_ptr<Link> &link, bool request);
@@ -56,6 +75,11 @@
     boost::asio::io_context m_io{1};
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_target;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    ListenMode m_listenMode = ListenMode::Accept;
+    // Fills the queue of connections to accept while connecting gets no answer.
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> m_fillers;
+    std::map<std::string, std::string> m_replacements;
     std::vector<std::weak_ptr<Link>> m_links;
     std::atomic<ProxyMode> m_mode{ProxyMode::Pass};
     std::atomic<int> m_delayMs{0};
