Take hosts that reach no server out of the directory

Cause: a host counts as alive by what its peers see of it. Nothing told them, or itself, that it reached no server, and the directories went on naming it.

It tells all hosts at once; directories leave it out unless all are cut off. Latencies and failures that it measured meanwhile are dropped.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -487,6 +487,15 @@
     std::erase_if(m_impl->idlePool, [](const auto &it) { return it.second.empty(); });
 }
 
+void ExchangeClient::closeIdle()
+{
+    std::vector<ConnectionPtr> idle;
+    for (const auto &it : m_impl->idlePool)
+        idle.insert(idle.end(), it.second.begin(), it.second.end());
+    for (const auto &it : idle)
+        m_impl->close(it);
+}
+
 void ExchangeClient::setIdleTimeout(core::Millis time)
 {
     m_impl->options.idleTimeout = time;
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -59,6 +59,9 @@
     // connections whose idle timeout ended. Call about every 20 ms.
     void tick(core::TimePoint now);
 
+    // Closes all idle connections.
+    void closeIdle();
+
     // Sets the idle timeout of connections that become idle from now on.
     void setIdleTimeout(core::Millis time);
 
--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -49,6 +49,7 @@
     to.setLoad(from.load);
     to.setCapacity(from.capacity);
     to.setStrained(from.strained);
+    to.setCutOff(from.cutOff);
 }
 
 Member readMember(wire::Member::Reader from)
@@ -70,6 +71,7 @@
     member.load = from.getLoad();
     member.capacity = from.getCapacity();
     member.strained = from.getStrained();
+    member.cutOff = from.getCutOff();
     return member;
 }
 
@@ -121,6 +123,8 @@
         notes[i].setStartedAt(from.leavingServers[i].startedAt);
     }
     to.setCrashDigest(from.crashDigest);
+    if (from.serverResponseAge)
+        to.setServerResponseAge(static_cast<std::uint64_t>(from.serverResponseAge->count()) + 1);
     auto crashes = to.initCrashes(static_cast<unsigned>(from.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i)
         writeCrash(from.crashes[i], crashes[i]);
@@ -147,6 +151,8 @@
     for (const auto it : from.getLeavingServers())
         gossip.leavingServers.push_back({asString(it.getServerId()), it.getStartedAt()});
     gossip.crashDigest = from.getCrashDigest();
+    if (from.getServerResponseAge() != 0)
+        gossip.serverResponseAge = core::Millis(from.getServerResponseAge() - 1);
     for (const auto it : from.getCrashes())
         gossip.crashes.push_back(readCrash(it));
     return gossip;
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -18,6 +18,7 @@
   capacity @11 :UInt32;
   strained @12 :Bool;
   region @13 :Text;
+  cutOff @14 :Bool;
 }
 
 struct LeavingNote {
@@ -58,6 +59,8 @@
   crashes @14 :List(CrashNote);
   # Digest of all crash notes of the sender.
   crashDigest @15 :UInt64;
+  # Age in ms of the last response of a server to the sender, plus 1; 0 if there was none.
+  serverResponseAge @16 :UInt64;
 }
 
 struct Outcome {
--- a/packages/daemon/forward/crash_monitor.cpp
+++ b/packages/daemon/forward/crash_monitor.cpp
@@ -59,8 +59,9 @@
     if (std::exchange(investigation.checking, true))
         return;
     const auto &backend = *investigation.backend;
-    investigation.check = EndCheck(backend.record.address,
-                                   m_backends.otherAddresses(backend, maxComparedServers, now));
+    investigation.check =
+        EndCheck(backend.record.address,
+                 m_backends.sampleAddresses(backend.record.address, maxComparedServers, now));
     connectNext(processOf(backend), now);
 }
 
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -13,6 +13,7 @@
 #include "daemon/forward/metrics.h"
 #include "daemon/forward/platform_copy.h"
 #include "daemon/forward/quarantine_sync.h"
+#include "daemon/forward/reach_checker.h"
 #include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
 #include "platform/http_messages.h"
@@ -70,6 +71,8 @@
 constexpr core::Millis heartbeatMargin{1000};
 // Shortest interval between messages to all hosts about crashes.
 constexpr core::Millis crashNewsInterval{250};
+// Connections to servers are dropped when the host is cut off and had no response for this long.
+constexpr core::Millis staleConnectionTime{300};
 constexpr std::size_t maxLeavingNotesPerMessage = 16;
 // Upper bound on the addresses in a resolve response.
 constexpr std::size_t maxAddresses = 8;
@@ -95,10 +98,9 @@
               [this](const std::string &service) { return connectionLimit(service); },
               [this] { return uniform(); }),
           m_quarantine({}, [this](const std::string &request) { return rankFor(request); }),
-          m_forward(
-              forwardLimits(), m_backends, m_backendClient, m_quarantine,
-              [this] { return uniform(); }, [this] { return m_copy.serversKnown(); },
-              [this] { onCrashRecorded(); }),
+          m_reach(m_backends, m_backendClient,
+                  [this](bool cutOff, TimePoint now) { onReachChanged(cutOff, now); }),
+          m_forward(forwardLimits(), m_backends, m_backendClient, m_quarantine, forwardHooks()),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_quarantineSync(m_quarantine, m_link),
@@ -158,6 +160,25 @@
         return limits;
     }
 
+    ForwardHooks forwardHooks()
+    {
+        return {[this] { return uniform(); }, [this] { return m_copy.serversKnown(); },
+                [this] { onCrashRecorded(); },
+                [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
+                    m_reach.onAttempt(backend, responded, now);
+                }};
+    }
+
+    // Tells the other hosts, which name this one to callers.
+    void onReachChanged(bool cutOff, TimePoint now)
+    {
+        m_members.setCutOff(cutOff);
+        m_membership.exchangeWithAll(now);
+        m_backends.resetMeasurements();
+        if (cutOff && now - m_reach.respondedAt() > staleConnectionTime)
+            m_backendClient.closeIdle();
+    }
+
     // Returns the time after which the store removes the entry of a silent server.
     core::Duration entryLifetime() const
     {
@@ -241,6 +262,9 @@
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
                     m_quarantineSync.fillGossip(gossip, now);
+                    if (m_reach.respondedAt() != TimePoint{})
+                        gossip.serverResponseAge =
+                            std::chrono::ceil<core::Millis>(now - m_reach.respondedAt());
                     gossip.requestsPerSecond = static_cast<float>(m_quota.requestsPerSecond());
                 },
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
@@ -248,6 +272,8 @@
                     m_copy.onGossip(gossip, from.peersAddress, now);
                     noteLeavingServers(gossip, now);
                     m_quarantineSync.onGossip(gossip, from.peersAddress, now);
+                    if (gossip.serverResponseAge)
+                        m_reach.onPeerNews(*gossip.serverResponseAge, now);
                     m_quota.onRequestRate(from.name, gossip.requestsPerSecond, now);
                 }};
     }
@@ -357,6 +383,7 @@
         gauges.stopping = m_stopping;
         gauges.limitSharePermille =
             static_cast<std::uint64_t>(permillePerUnit * m_quota.demandShare());
+        gauges.cutOff = m_reach.cutOff();
         gauges.requestsSuspected = m_quarantine.requestCount();
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200, {{"Content-Type", "text/plain"}}, formatMetrics(gauges, m_forward.counters())};
@@ -501,6 +528,7 @@
     void runMaintenance(TimePoint now)
     {
         m_backendClient.tick(now);
+        m_reach.tick(now);
         sendCrashNews(now);
         m_storeClient.tick(now);
         if (!m_copy.serversKnown())
@@ -557,6 +585,7 @@
     ExchangeClient m_storeClient;
     policy::forward::BackendTable m_backends;
     policy::quarantine::RequestQuarantine m_quarantine;
+    ReachChecker m_reach;
     ForwardService m_forward;
     adapters::peers::LoopPeerLink m_link;
     QuarantineSync m_quarantineSync;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -42,6 +42,13 @@
     {CallOutcome::Blocked, "blocked"},
 }};
 
+// Returns whether the server responded at all.
+bool isResponse(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Refused
+        || outcome == AttemptOutcome::Misdirected;
+}
+
 ports::OutgoingResponse errorResponseFor(ResultCode code, const std::string &detail = {},
                                          std::optional<core::Millis> retryAfter = std::nullopt)
 {
@@ -57,11 +64,9 @@
 ForwardService::ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                                adapters::loop::ExchangeClient &client,
                                policy::quarantine::RequestQuarantine &quarantine,
-                               std::function<double()> random, std::function<bool()> serversKnown,
-                               std::function<void()> onCrashRecorded)
-    : m_limits(limits), m_backends(backends), m_client(client), m_random(std::move(random)),
-      m_serversKnown(std::move(serversKnown)), m_quarantine(quarantine),
-      m_crashMonitor(backends, client, quarantine, std::move(onCrashRecorded))
+                               ForwardHooks hooks)
+    : m_limits(limits), m_backends(backends), m_client(client), m_host(std::move(hooks)),
+      m_quarantine(quarantine), m_crashMonitor(backends, client, quarantine, m_host.onCrashRecorded)
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -70,7 +75,7 @@
         return m_backends.pick(service, exclude, now);
     };
     m_hooks.hasUsable = [this](const std::string &service, const auto &exclude, TimePoint now) {
-        return m_backends.hasUsable(service, exclude, now) || !m_serversKnown();
+        return m_backends.hasUsable(service, exclude, now) || !m_host.serversKnown();
     };
     m_hooks.estimateLatency = [this](const std::string &service, CallRank rank, TimePoint now) {
         return m_backends.estimateLatency(service, m_waitQueue.countAhead(service, rank), now);
@@ -146,7 +151,7 @@
         ++m_counters.refused;
         return call.respond(
             errorResponseFor(ResultCode::NoConfiguration, {},
-                             policy::forward::retryDelay(core::Duration{0}, m_random())));
+                             policy::forward::retryDelay(core::Duration{0}, m_host.random())));
     }
     const auto metadata = platform::readRequestMetadata(call.request);
     const auto *route = m_table->find(metadata.host, metadata.path);
@@ -394,6 +399,8 @@
 void ForwardService::recordOutcome(const Attempt &attempt, AttemptOutcome outcome, TimePoint now)
 {
     m_backends.onEnded(*attempt.backend, outcome, attempt.sentAt, now);
+    if (outcome != AttemptOutcome::Cancelled)
+        m_host.onAttemptEnded(*attempt.backend, isResponse(outcome), now);
     if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::TimedOut)
         m_hedgeDelay.add(attempt.route, now - attempt.sentAt);
 }
@@ -470,7 +477,7 @@
     }
     case CallOutcome::Refused:
         return errorResponseFor(ResultCode::NoServerAvailable, {},
-                                policy::forward::retryDelay(finish.expectedWait, m_random()));
+                                policy::forward::retryDelay(finish.expectedWait, m_host.random()));
     case CallOutcome::Failed:
         return errorResponseFor(ResultCode::ServersFailed);
     case CallOutcome::Blocked:
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -43,20 +43,29 @@
     double maxElapsedShare = 0.5;
 };
 
+struct ForwardHooks
+{
+    // Returns a uniform number in [0, 1).
+    std::function<double()> random;
+    // Returns whether the server list was loaded: until then a request for a service without a
+    // server waits for one.
+    std::function<bool()> serversKnown;
+    // Called when this host adds a crash to the quarantine.
+    std::function<void()> onCrashRecorded;
+    // Called for each attempt that ended, with a response of the server or without.
+    std::function<void(const policy::forward::Backend &, bool responded, core::TimePoint now)>
+        onAttemptEnded;
+};
+
 // Forwards callers' requests to servers along their routes. Not thread-safe: use only on the event
 // loop's thread.
 class ForwardService
 {
 public:
-    // `random` returns a uniform number in [0, 1). `serversKnown` returns whether the server list
-    // was loaded: until then a request for a service without a server waits for one.
-    // `onCrashRecorded` is called when this host adds a crash to the quarantine.
     // Precondition: `backends`, `client` and `quarantine` outlive this object.
     ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
                    adapters::loop::ExchangeClient &client,
-                   policy::quarantine::RequestQuarantine &quarantine,
-                   std::function<double()> random, std::function<bool()> serversKnown,
-                   std::function<void()> onCrashRecorded);
+                   policy::quarantine::RequestQuarantine &quarantine, ForwardHooks hooks);
 
     // Replaces the route table. Calls in progress keep the table that they started with.
     void setRoutes(policy::forward::RouteTablePtr table);
@@ -188,8 +197,7 @@
     ForwardLimits m_limits;
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
-    std::function<double()> m_random;
-    std::function<bool()> m_serversKnown;
+    ForwardHooks m_host;
     policy::forward::RouteTablePtr m_table;
     policy::forward::WeightedRoundRobin m_trafficSplit;
     policy::forward::ElapsedTimeEstimator m_elapsedTime;
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -34,6 +34,8 @@
     bool stopping = false;
     // Share of the limits of servers, in thousandths.
     std::uint64_t limitSharePermille = 0;
+    // The host reaches no server, while other hosts do.
+    bool cutOff = false;
     // Requests that may crash servers, and those of them that are blocked.
     std::uint64_t requestsSuspected = 0;
     std::uint64_t requestsBlocked = 0;
--- a/packages/policy/entrypoints/entry_points.cpp
+++ b/packages/policy/entrypoints/entry_points.cpp
@@ -69,6 +69,11 @@
 {
     std::erase_if(members,
                   [](const Member &it) { return it.leaving || it.state != MemberState::Alive; });
+    // Unless all are cut off, so that none of them is worse than another.
+    const bool anyConnected =
+        std::any_of(members.begin(), members.end(), [](const Member &it) { return !it.cutOff; });
+    if (anyConnected)
+        std::erase_if(members, [](const Member &it) { return it.cutOff; });
     excludeSmallHosts(members);
     return members;
 }
--- a/packages/policy/entrypoints/entry_points.h
+++ b/packages/policy/entrypoints/entry_points.h
@@ -11,8 +11,9 @@
 // fleet-wide quotas.
 namespace goldcrestline::policy::entrypoints {
 
-// Returns the hosts that may be entry points. Excludes suspect, dead and leaving hosts, and the
-// small hosts of a zone while its large hosts suffice and none of them is strained. Thread-safe.
+// Returns the hosts that may be entry points. Excludes suspect, dead and leaving hosts, those that
+// reach no server unless none does, and the small hosts of a zone while its large hosts suffice and
+// none of them is strained. Thread-safe.
 std::vector<membership::Member> eligibleHosts(std::vector<membership::Member> members);
 
 // Returns whether `members` contains the host named `name`. Thread-safe.
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -114,12 +114,12 @@
     return out;
 }
 
-std::vector<std::string> BackendTable::otherAddresses(const Backend &backend, std::size_t limit,
-                                                      TimePoint now) const
+std::vector<std::string> BackendTable::sampleAddresses(const std::string &exclude,
+                                                       std::size_t limit, TimePoint now) const
 {
     std::vector<const Backend *> others;
     for (const auto &it : m_byId) {
-        if (it.second->record.address != backend.record.address)
+        if (it.second->record.address != exclude)
             others.push_back(it.second.get());
     }
     for (std::size_t i = 0; i + 1 < others.size(); ++i) {
@@ -135,6 +135,33 @@
     return out;
 }
 
+std::vector<std::string> BackendTable::overdue(TimePoint since) const
+{
+    std::vector<std::string> out;
+    for (const auto &it : m_byId) {
+        const auto &pending = it.second->pending;
+        if (!pending.empty() && pending.front() <= since)
+            out.push_back(it.first);
+    }
+    return out;
+}
+
+void BackendTable::resetMeasurements()
+{
+    for (auto &service : m_services) {
+        service.second.typicalMs = 0;
+        service.second.typicalProcessingMs = 0;
+        for (const auto &it : service.second.backends) {
+            it->latencyMs = 0;
+            it->processingMs = 0;
+            it->failures = {};
+            it->refusals = {};
+            it->consecutiveFailures = 0;
+            it->ejectedUntil = {};
+        }
+    }
+}
+
 const BackendTable::Service *BackendTable::find(const std::string &service) const
 {
     const auto it = m_services.find(service);
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -168,10 +168,17 @@
     // that lapse in an outage do so together. Unknown ids are ignored.
     void setMissing(const std::string &id, bool missing);
 
-    // Returns the addresses of up to `limit` other servers, in random order; those that are in use
-    // first.
-    std::vector<std::string> otherAddresses(const Backend &backend, std::size_t limit,
-                                            core::TimePoint now) const;
+    // Returns the addresses of up to `limit` servers except the one at `exclude`, in random order;
+    // those that are in use first.
+    std::vector<std::string> sampleAddresses(const std::string &exclude, std::size_t limit,
+                                             core::TimePoint now) const;
+
+    // Returns the ids of the servers that have not responded to a request sent at `since` or
+    // before.
+    std::vector<std::string> overdue(core::TimePoint since) const;
+
+    // Forgets failures and latencies, which were due to this host's own connectivity.
+    void resetMeasurements();
 
     // Returns the ids of all listed servers.
     std::vector<std::string> ids() const;
--- a/packages/policy/membership/member.h
+++ b/packages/policy/membership/member.h
@@ -31,7 +31,7 @@
     // Wall-clock start time of the process in milliseconds, so that it increases with each restart.
     std::uint64_t incarnation = 0;
     // Version of the record within an incarnation. Only the host itself increments it: to refute a
-    // suspicion, or when `strained` changes.
+    // suspicion, or when `strained` or `cutOff` changes.
     std::uint32_t refutation = 0;
     MemberState state = MemberState::Alive;
     // The host is shutting down and is not advertised to callers any more.
@@ -44,6 +44,8 @@
     std::uint32_t capacity = 0;
     // Processor utilization of the host is above the level from which response times grow.
     bool strained = false;
+    // The host reaches no server, while other hosts do.
+    bool cutOff = false;
 
     // Returns whether this record overrides `other` of the same host. Thread-safe.
     bool supersedes(const Member &other) const
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -391,6 +391,14 @@
     ++m_self.refutation;
 }
 
+void MemberTable::setCutOff(bool cutOff)
+{
+    if (m_self.cutOff == cutOff)
+        return;
+    m_self.cutOff = cutOff;
+    ++m_self.refutation;
+}
+
 std::uint64_t MemberTable::digest() const
 {
     std::uint64_t out = reachable(m_self) ? recordHash(m_self, m_self.leaving) : 0;
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -120,6 +120,8 @@
     void setLoad(std::uint32_t load);
     // Announces a change of the `strained` flag of this host.
     void setStrained(bool strained);
+    // Announces a change of the `cutOff` flag of this host.
+    void setCutOff(bool cutOff);
 
     const Member &self() const { return m_self; }
 
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,6 +44,8 @@
     // sender has; 0 if none.
     std::vector<policy::quarantine::CrashNote> crashes;
     std::uint64_t crashDigest = 0;
+    // Age of the last response of a server to the sender, if there was one.
+    std::optional<core::Millis> serverResponseAge;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
