Relay the requests that arrive at a host which reaches no server

Cause: such a host can do nothing for them by itself, and nothing passed their requests on.

Now it relays each arrival to another host, at an address of its own between hosts: the one with the fewest of its relayed requests in progress, where hosts of other zones count as one and a half times as busy and hosts without a recent response of a server as eight times. One hop, since a relayed request is never relayed on. It carries the caller's address and the remaining time less the hop, and ends with the caller. It goes to another host only while it reached none; one that broke after it was sent is answered 502, since it may have run. The host that sends it to servers counts it in budgets, limits and demand. Both hosts' planned stops wait for it.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -50,6 +50,7 @@
     to.setCapacity(from.capacity);
     to.setStrained(from.strained);
     to.setCutOff(from.cutOff);
+    to.setRelayAddress(from.relayAddress);
 }
 
 Member readMember(wire::Member::Reader from)
@@ -72,6 +73,7 @@
     member.capacity = from.getCapacity();
     member.strained = from.getStrained();
     member.cutOff = from.getCutOff();
+    member.relayAddress = asString(from.getRelayAddress());
     return member;
 }
 
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -19,6 +19,7 @@
   strained @12 :Bool;
   region @13 :Text;
   cutOff @14 :Bool;
+  relayAddress @15 :Text;
 }
 
 struct LeavingNote {
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -39,6 +39,8 @@
         // platform checks readiness.
         TextNode directory{this, "directory", "", Presence::Optional};
         TextNode readiness{this, "readiness", "", Presence::Optional};
+        // For routes: address at which other hosts relay requests while they reach no server.
+        TextNode relay{this, "relay", "", Presence::Optional};
         // For routes: additional address that serves metrics. The control address always does.
         TextNode metrics{this, "metrics", "", Presence::Optional};
     } listen{this, "listen"};
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -14,6 +14,7 @@
 #include "daemon/forward/platform_copy.h"
 #include "daemon/forward/quarantine_sync.h"
 #include "daemon/forward/reach_checker.h"
+#include "daemon/forward/request_relay.h"
 #include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
 #include "platform/http_messages.h"
@@ -71,6 +72,12 @@
 constexpr core::Millis heartbeatMargin{1000};
 // Shortest interval between messages to all hosts about crashes.
 constexpr core::Millis crashNewsInterval{250};
+// Timeout for opening a connection to another host that is to relay a request.
+constexpr core::Millis relayConnectTimeout{200};
+// Room in the head of a relayed request for the headers that the other host adds.
+constexpr std::uint64_t relayHeaderBytes = 256;
+// Distinguishes the ids of relayed calls from those of callers' own connections.
+constexpr std::uint64_t relayedCallBit = std::uint64_t(1) << 63;
 // Connections to servers are dropped when the host is cut off and had no response for this long.
 constexpr core::Millis staleConnectionTime{300};
 constexpr std::size_t maxLeavingNotesPerMessage = 16;
@@ -101,6 +108,9 @@
           m_reach(m_backends, m_backendClient,
                   [this](bool cutOff, TimePoint now) { onReachChanged(cutOff, now); }),
           m_forward(forwardLimits(), m_backends, m_backendClient, m_quarantine, forwardHooks()),
+          m_relayClient(m_io, relayOptions()),
+          m_relay(m_settings->host.zone.value, m_relayClient,
+                  {[this] { return otherHosts(); }, [this] { return uniform(); }}),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_quarantineSync(m_quarantine, m_link),
@@ -115,6 +125,9 @@
           m_readiness(m_io, m_settings->listen.readiness.value, {}, infoHooks()),
           m_control(m_io, m_settings->listen.control.value, {}, infoHooks())
     {
+        if (!m_settings->listen.relay.value.empty())
+            m_relayServer.emplace(m_io, m_settings->listen.relay.value, relayLimits({}),
+                                  relayHooks());
         if (!m_settings->listen.metrics.value.empty()) {
             m_metrics.emplace(m_io, m_settings->listen.metrics.value, HttpServerLimits(),
                               infoHooks());
@@ -143,6 +156,29 @@
         return options;
     }
 
+    static ExchangeOptions relayOptions()
+    {
+        ExchangeOptions options;
+        options.connectTimeout = relayConnectTimeout;
+        return options;
+    }
+
+    // Returns the limits of relayed requests for callers' limits.
+    static HttpServerLimits relayLimits(HttpServerLimits limits)
+    {
+        limits.maxHeaderBytes += relayHeaderBytes;
+        // The other hosts decide how long their connections are kept.
+        limits.idleTimeout = 2 * ExchangeOptions().idleTimeout;
+        return limits;
+    }
+
+    std::vector<policy::membership::Member> otherHosts() const
+    {
+        auto out = m_members.live();
+        std::erase_if(out, [this](const auto &it) { return it.name == m_members.self().name; });
+        return out;
+    }
+
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
     unsigned randomBelow(unsigned n)
@@ -272,8 +308,10 @@
                     m_copy.onGossip(gossip, from.peersAddress, now);
                     noteLeavingServers(gossip, now);
                     m_quarantineSync.onGossip(gossip, from.peersAddress, now);
-                    if (gossip.serverResponseAge)
+                    if (gossip.serverResponseAge) {
                         m_reach.onPeerNews(*gossip.serverResponseAge, now);
+                        m_relay.onPeerNews(from.name, *gossip.serverResponseAge, now);
+                    }
                     m_quota.onRequestRate(from.name, gossip.requestsPerSecond, now);
                 }};
     }
@@ -313,9 +351,12 @@
 
     void setRoutes(policy::forward::RouteTablePtr table)
     {
-        const auto &limits = table->callerLimits();
-        m_callers.setLimits(
-            {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout});
+        const auto &from = table->callerLimits();
+        const HttpServerLimits limits{from.maxHeaderBytes, from.maxBodyBytes, from.headerTimeout,
+                                      from.idleTimeout};
+        m_callers.setLimits(limits);
+        if (m_relayServer)
+            m_relayServer->setLimits(relayLimits(limits));
         m_forward.setRoutes(std::move(table));
     }
 
@@ -332,13 +373,43 @@
         m_membership.handle(std::move(call), now);
     }
 
+    // Relays a request if this host reaches no server; returns whether it did.
+    bool relay(HttpCall &call, TimePoint now)
+    {
+        const auto &routes = m_forward.routes();
+        if (!m_reach.cutOff() || !routes)
+            return false;
+        const auto metadata = platform::readRequestMetadata(call.request);
+        const auto *route = routes->find(metadata.host, metadata.path);
+        return route != nullptr && m_relay.relay(call, *route, now);
+    }
+
     adapters::loop::HttpServerHooks callerHooks()
     {
         return {[this](HttpCall call, TimePoint now) {
+                    if (!relay(call, now))
+                        m_forward.handle(std::move(call), now);
+                    arm(now);
+                },
+                [this](std::uint64_t id, TimePoint now) {
+                    if (!m_relay.onCallerDisconnect(id))
+                        m_forward.onCallerDisconnect(id, now);
+                },
+                malformedRequestResponse};
+    }
+
+    // Requests that another host relayed are not relayed on.
+    adapters::loop::HttpServerHooks relayHooks()
+    {
+        return {[this](HttpCall call, TimePoint now) {
+                    call.id |= relayedCallBit;
+                    receiveRelayed(call);
                     m_forward.handle(std::move(call), now);
                     arm(now);
                 },
-                [this](std::uint64_t id, TimePoint now) { m_forward.onCallerDisconnect(id, now); },
+                [this](std::uint64_t id, TimePoint now) {
+                    m_forward.onCallerDisconnect(id | relayedCallBit, now);
+                },
                 malformedRequestResponse};
     }
 
@@ -384,6 +455,7 @@
         gauges.limitSharePermille =
             static_cast<std::uint64_t>(permillePerUnit * m_quota.demandShare());
         gauges.cutOff = m_reach.cutOff();
+        gauges.requestsRelayed = m_relay.relayed();
         gauges.requestsSuspected = m_quarantine.requestCount();
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200, {{"Content-Type", "text/plain"}}, formatMetrics(gauges, m_forward.counters())};
@@ -464,6 +536,8 @@
         m_members.setLeaving();
         m_membership.exchangeWithAll(now);
         m_callers.disableKeepAlive();
+        if (m_relayServer)
+            m_relayServer->disableKeepAlive();
         m_drainUntil = now + maxTtlMultiple * m_settings->forward.keepMs.millis();
         const std::chrono::duration<double> grace(m_settings->forward.graceS.value);
         m_exitAt = now + std::chrono::duration_cast<core::Duration>(grace) - exitMargin;
@@ -487,10 +561,15 @@
         if (!m_acceptStopped) {
             m_acceptStopped = true;
             // Requests that have just arrived are read before the next check.
-            return m_callers.stopAccepting();
+            m_callers.stopAccepting();
+            if (m_relayServer)
+                m_relayServer->stopAccepting();
+            return;
         }
-        if (m_callers.activeConnections() == 0 || now >= m_exitAt) {
-            if (m_callers.activeConnections() != 0)
+        const auto active = m_callers.activeConnections()
+            + (m_relayServer ? m_relayServer->activeConnections() : 0);
+        if (active == 0 || now >= m_exitAt) {
+            if (active != 0)
                 log.warning("aborted at exit running=" + std::to_string(m_forward.running()));
             m_io.stop();
         }
@@ -528,6 +607,7 @@
     void runMaintenance(TimePoint now)
     {
         m_backendClient.tick(now);
+        m_relayClient.tick(now);
         m_reach.tick(now);
         sendCrashNews(now);
         m_storeClient.tick(now);
@@ -539,6 +619,8 @@
             it->tick(now);
         if (m_metrics)
             m_metrics->tick(now);
+        if (m_relayServer)
+            m_relayServer->tick(now);
         if (now >= m_memberTickAt) {
             m_memberTickAt = now + m_settings->peers.periodMs.millis();
             m_membership.tick(now);
@@ -587,6 +669,8 @@
     policy::quarantine::RequestQuarantine m_quarantine;
     ReachChecker m_reach;
     ForwardService m_forward;
+    ExchangeClient m_relayClient;
+    RequestRelay m_relay;
     adapters::peers::LoopPeerLink m_link;
     QuarantineSync m_quarantineSync;
     PlatformCopy m_copy;
@@ -598,6 +682,8 @@
     HttpServer m_directory;
     HttpServer m_readiness;
     HttpServer m_control;
+    // Port for requests of hosts that reach no server.
+    std::optional<HttpServer> m_relayServer;
     // Separate port from which the platform scrapes metrics.
     std::optional<HttpServer> m_metrics;
     TimePoint m_startedAt{};
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -1,7 +1,7 @@
 #include "daemon/forward/forward_service.h"
 
 #include "adapters/logging/log.h"
-#include "core/result_code.h"
+#include "daemon/forward/error_response.h"
 #include "platform/names.h"
 #include "policy/forward/records.h"
 #include "policy/forward/retry_delay.h"
@@ -49,16 +49,6 @@
         || outcome == AttemptOutcome::Misdirected;
 }
 
-ports::OutgoingResponse errorResponseFor(ResultCode code, const std::string &detail = {},
-                                         std::optional<core::Millis> retryAfter = std::nullopt)
-{
-    const auto &info = core::infoOf(code);
-    auto text = std::string(info.text);
-    if (!detail.empty())
-        text += ": " + detail;
-    return platform::errorResponse(info.httpStatus, static_cast<int>(code), text, retryAfter);
-}
-
 } // namespace
 
 ForwardService::ForwardService(ForwardLimits limits, policy::forward::BackendTable &backends,
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -43,6 +43,7 @@
     appendLine(out, "servers_limited_total", counters.serversLimited);
     appendLine(out, "limit_share_permille", gauges.limitSharePermille);
     appendLine(out, "cut_off_from_servers", gauges.cutOff ? 1 : 0);
+    appendLine(out, "requests_relayed_total", gauges.requestsRelayed);
     appendLine(out, "requests_blocked_total", counters.blocked);
     appendLine(out, "quarantine_requests", gauges.requestsSuspected);
     appendLine(out, "quarantine_blocked", gauges.requestsBlocked);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -36,6 +36,8 @@
     std::uint64_t limitSharePermille = 0;
     // The host reaches no server, while other hosts do.
     bool cutOff = false;
+    // Requests that this host relayed to another one.
+    std::uint64_t requestsRelayed = 0;
     // Requests that may crash servers, and those of them that are blocked.
     std::uint64_t requestsSuspected = 0;
     std::uint64_t requestsBlocked = 0;
--- a/packages/daemon/peers/member_setup.cpp
+++ b/packages/daemon/peers/member_setup.cpp
@@ -18,6 +18,7 @@
     self.callersAddress = settings.listen.callers.value;
     self.controlAddress = settings.listen.control.value;
     self.peersAddress = settings.listen.peers.value;
+    self.relayAddress = settings.listen.relay.value;
     self.capacity = static_cast<std::uint32_t>(millicoresPerCore * availableCores(settings));
     self.incarnation = incarnation;
     return self;
--- a/packages/policy/membership/member.h
+++ b/packages/policy/membership/member.h
@@ -28,6 +28,8 @@
     std::string callersAddress;
     std::string controlAddress;
     std::string peersAddress;
+    // Address for requests that other hosts relay; empty if the host takes none.
+    std::string relayAddress;
     // Wall-clock start time of the process in milliseconds, so that it increases with each restart.
     std::uint64_t incarnation = 0;
     // Version of the record within an incarnation. Only the host itself increments it: to refute a
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -8,7 +8,7 @@
 
 const std::string loopback = "127.0.0.1:";
 const std::vector<std::string> zones{"a", "b", "c"};
-constexpr std::size_t portsPerHost = 6;
+constexpr std::size_t portsPerHost = 7;
 
 const char *serverSpec = R"({"services": {"shard0": {}, "shard1": {}, "shard2": {},
     "single": {"servers": 4}, "left": {}, "right": {}}})";
@@ -69,7 +69,7 @@
         host.zone = zones[i % std::min(zones.size(), static_cast<std::size_t>(zoneCount))];
         std::size_t port = portsPerHost * i;
         for (auto *it : {&host.callers, &host.control, &host.directory, &host.readiness,
-                         &host.peers, &host.metrics})
+                         &host.peers, &host.metrics, &host.relay})
             *it = loopback + std::to_string(ports[port++]);
         host.settingsPath = scratchFolder() + "/settings.toml";
         m_hosts.push_back(std::move(host));
@@ -98,7 +98,7 @@
         + "\"\nserves = \"routes\"\n[listen]\ncallers = \"" + host.callers + "\"\ncontrol = \""
         + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
         + host.readiness + "\"\npeers = \"" + host.peers + "\"\nmetrics = \"" + host.metrics
-        + "\"\n[platform]\naddress = \"" + storeAddress
+        + "\"\nrelay = \"" + host.relay + "\"\n[platform]\naddress = \"" + storeAddress
         + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
 }
 
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -22,6 +22,7 @@
         std::string readiness;
         std::string metrics;
         std::string peers;
+        std::string relay;
         std::string settingsPath;
         std::unique_ptr<Process> process;
     };
--- a/tests/unit/reach_monitor_test.cpp
+++ b/tests/unit/reach_monitor_test.cpp
@@ -139,7 +139,8 @@
         members[i].zone = "z";
     }
     members[0].cutOff = true;
-    CHECK_FALSE(policy::entrypoints::containsHost(policy::entrypoints::eligibleHosts(members), "h0"));
+    CHECK_FALSE(
+        policy::entrypoints::containsHost(policy::entrypoints::eligibleHosts(members), "h0"));
     CHECK(policy::entrypoints::eligibleHosts(members).size() == 2);
     for (auto &it : members)
         it.cutOff = true;
