--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -254,6 +254,27 @@
 mutant silent-store packages/daemon/forward/platform_copy.cpp \
     's/return serversWatchWait\(\);/return longWatchWait;/' \
     process_tests "hosts whose watches have all gone silent at once learn of a leaving server in time"
+mutant crash-forgotten $policy/quarantine/request_quarantine.cpp \
+    's/if \(now < blockedUntil\(request, crashes\)\)/if (false)/' \
+    unit_tests "the third crash blocks a request, and the earlier ones make it be handled with care"
+mutant bystander-blocked $policy/quarantine/request_quarantine.cpp \
+    's/ \|\| !repeated//' \
+    unit_tests "a request at many servers that end together is tried again before it is blocked"
+mutant completion-ignored $policy/quarantine/request_quarantine.cpp \
+    's/crash.second.refuted = true;//' \
+    unit_tests "a request that ran to its end is not held responsible for earlier crashes"
+mutant cut-is-crash $policy/quarantine/end_check.cpp \
+    's/m_refused = true;/m_result = ServerState::Ended;/' \
+    unit_tests "a refused connection proves the end of a server only where another one is reached"
+mutant crashes-untold packages/daemon/forward/quarantine_sync.cpp \
+    's/gossip.crash[A-Za-z]* = [^;]*;//g' \
+    process_tests "a host that starts learns from its peers which requests crash servers"
+mutant down-for-all $policy/reach/reach_monitor.cpp \
+    's/\(peersReach \|\| onlyNewFail\)/true/' \
+    unit_tests "a host that reaches no server while others do is cut off"
+mutant cut-off-listed $policy/entrypoints/entry_points.cpp \
+    's/if \(anyConnected\)/if (false)/' \
+    process_tests "directories leave out a host whose connections to all servers hang"
 
 ninja -C "$build" >/dev/null 2>&1
 echo "$survived mutants survived"
