--- a/packages/daemon/forward/request_relay.cpp
+++ b/packages/daemon/forward/request_relay.cpp
@@ -49,8 +49,8 @@
     request.commonHead = std::make_shared<const std::string>(platform::sharedHead(call.request));
     request.attemptHead = std::string(relayedForHeader) + ": " + call.callerAddress + "\r\n";
     if (metadata.callerTimeout) {
-        request.attemptHead +=
-            platform::deadlineHead(std::max(*metadata.callerTimeout - hopRoundTrip, core::Millis(1)));
+        request.attemptHead += platform::deadlineHead(
+            std::max(*metadata.callerTimeout - hopRoundTrip, core::Millis(1)));
     }
     request.body = std::make_shared<const std::string>(call.request.body);
     request.bodyless = call.request.method == "HEAD";
@@ -110,11 +110,11 @@
     case ports::ExchangeOutcome::NotReached:
         if (send(id, pending, now))
             return;
-        return finish(id,
-                      errorResponseFor(ResultCode::NoServerAvailable, {},
-                                       policy::forward::retryDelay(core::Duration{0},
-                                                                   m_hooks.random())),
-                      now);
+        return finish(
+            id,
+            errorResponseFor(ResultCode::NoServerAvailable, {},
+                             policy::forward::retryDelay(core::Duration{0}, m_hooks.random())),
+            now);
     // The other host may have sent it to servers, so that it is not repeated.
     case ports::ExchangeOutcome::Broken:
         return finish(id, errorResponseFor(ResultCode::ServersFailed), now);
--- a/packages/policy/reach/relay_choice.cpp
+++ b/packages/policy/reach/relay_choice.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Above 1, because traffic between zones is billed and takes longer; low, so that the rest of a zone
-// is not overloaded when most of it is cut off.
+// Above 1, because traffic between zones is billed and takes longer; low, so that the rest of a
+// zone is not overloaded when most of it is cut off.
 constexpr double otherZoneFactor = 1.5;
 constexpr double noRecentResponseFactor = 8;
 constexpr core::Duration recentResponse = std::chrono::seconds(3);
--- a/packages/policy/reach/relay_choice.h
+++ b/packages/policy/reach/relay_choice.h
@@ -20,10 +20,10 @@
     std::optional<core::Duration> responseAge;
 };
 
-// Returns the index of the host to relay a request to: the one with the fewest requests in progress,
-// where hosts of another zone than `zone` and those without a recent response of a server count as
-// busier. Equal ones are chosen at random; nothing if there is no candidate. `random` returns a
-// uniform number in [0, 1). Thread-safe.
+// Returns the index of the host to relay a request to: the one with the fewest requests in
+// progress, where hosts of another zone than `zone` and those without a recent response of a server
+// count as busier. Equal ones are chosen at random; nothing if there is no candidate. `random`
+// returns a uniform number in [0, 1). Thread-safe.
 std::optional<std::size_t> chooseRelay(const std::vector<RelayCandidate> &candidates,
                                        const std::string &zone,
                                        const std::function<double()> &random);
