--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -125,9 +125,10 @@
           m_readiness(m_io, m_settings->listen.readiness.value, {}, infoHooks()),
           m_control(m_io, m_settings->listen.control.value, {}, infoHooks())
     {
-        if (!m_settings->listen.relay.value.empty())
+        if (!m_settings->listen.relay.value.empty()) {
             m_relayServer.emplace(m_io, m_settings->listen.relay.value, relayLimits({}),
                                   relayHooks());
+        }
         if (!m_settings->listen.metrics.value.empty()) {
             m_metrics.emplace(m_io, m_settings->listen.metrics.value, HttpServerLimits(),
                               infoHooks());
@@ -298,9 +299,10 @@
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
                     m_quarantineSync.fillGossip(gossip, now);
-                    if (m_reach.respondedAt() != TimePoint{})
+                    if (m_reach.respondedAt() != TimePoint{}) {
                         gossip.serverResponseAge =
                             std::chrono::ceil<core::Millis>(now - m_reach.respondedAt());
+                    }
                     gossip.requestsPerSecond = static_cast<float>(m_quota.requestsPerSecond());
                 },
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -345,9 +345,10 @@
     bool refuted = false;
     for (const auto &it : attempt.content->digests())
         refuted |= m_quarantine.onCompleted(it, now);
-    if (refuted)
+    if (refuted) {
         log.info("server completed a suspected request id=" + attempt.requestId + " request="
                  + attempt.content->digests().back() + " server=" + attempt.backend->record.id);
+    }
 }
 
 void ForwardService::noteRequests(policy::forward::Backend &backend,
--- a/packages/policy/quarantine/request_quarantine.h
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -2,11 +2,11 @@
 
 #include "core/clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,7 +22,10 @@
     std::string id;
     core::WallMillis startedAt = 0;
 
-    auto operator<=>(const ServerProcess &) const = default;
+    bool operator<(const ServerProcess &other) const
+    {
+        return std::tie(id, startedAt) < std::tie(other.id, other.startedAt);
+    }
 };
 
 // A server process that ended while it ran a request, as hosts tell each other.
