--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -72,7 +72,7 @@
     's/result.outcome == AttemptOutcome::Shed \|\|/result.outcome == AttemptOutcome::Shed || result.outcome == AttemptOutcome::Broken ||/' \
     process_tests "claims are executed at most once while responses of servers are lost"
 mutant lost-is-unsent packages/adapters/loop/exchange_client.cpp \
-    's/fail\(connection, ExchangeOutcome::Broken\);\n    \}\n\n    \/\/ Completes the exchange/fail(connection, ExchangeOutcome::NotReached);\n    }\n\n    \/\/ Completes the exchange/' \
+    's/fail\(connection, ExchangeOutcome::Broken, true\);/fail(connection, ExchangeOutcome::NotReached);/' \
     process_tests "claims are executed at most once while responses of servers are lost"
 mutant serves-stale $engine/host_state.h \
     's/return listsDocument.version\(\) < highestListsVersion\s*\|\| !freshness.mayServe\(members.knownCount\(\), now\);/(void)now; return false;/' \
@@ -96,7 +96,7 @@
     's/if \(m_hooks.tryWithdraw\(service, now\)\)\n        sendTo/if (true)\n        sendTo/' \
     unit_tests "an exhausted retry budget prevents extra attempts"
 mutant budget-line $forward/call.h \
-    's/m_parts\[part\].waiting && m_parts\[part\].tried.empty\(\)/m_parts[part].waiting/' \
+    's/ && state.tried.empty\(\);/;/' \
     unit_tests "a part that waits for the retry budget or for an untried server is not queued"
 mutant refusals-look-fast $forward/backend_table.cpp \
     's/total \+= refused \* refused \* m_parameters.refusalPenaltyMs;//' \
@@ -129,7 +129,7 @@
     's/if \(platform::guaranteesNotExecuted\(running.response.status\)\)/if (false)/' \
     process_tests "a non-idempotent request is executed at most once under each fault of the server"
 mutant cut-at-stop packages/daemon/forward/forward_host.cpp \
-    's/if \(m_callers.activeConnections\(\) == 0 \|\| now >= m_exitAt\)/if (true)/' \
+    's/if \(active == 0 \|\| now >= m_exitAt\)/if (true)/' \
     process_tests "a planned stop interrupts no request and removes the host from the directory within 1 s"
 mutant never-early $policy/forward/call.cpp \
     's/    admit\(now, out\);\n//' \
