--- a/packages/daemon/forward/quarantine_sync.cpp
+++ b/packages/daemon/forward/quarantine_sync.cpp
@@ -113,9 +113,10 @@
 {
     for (const auto &request : m_quarantine.apply(notes, now)) {
         const bool blocked = m_quarantine.handling(request, now) == Handling::Blocked;
-        log.info(std::string(blocked ? "request blocked" : "request changed")
-                 + " request=" + request
-                 + " crashes=" + std::to_string(m_quarantine.crashes(request)) + " from=" + from);
+        std::string line = blocked ? "request blocked" : "request changed";
+        line += " request=" + request + " crashes=" + std::to_string(m_quarantine.crashes(request));
+        line += " from=" + from;
+        log.info(line);
     }
 }
 
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -193,22 +193,28 @@
 
 std::vector<int> freePorts(std::size_t n)
 {
-    std::vector<int> sockets;
+    // Below the range from which the kernel takes ports for connections and proxies, so that none
+    // of these gets a port between this check and its use. Test processes that run at once begin at
+    // different places.
+    constexpr int firstPort = 20000;
+    constexpr int portCount = 12000;
+    constexpr int portsPerProcess = 60;
+    static int next = static_cast<int>(getpid()) % (portCount / portsPerProcess) * portsPerProcess;
     std::vector<int> ports;
-    for (std::size_t i = 0; i < n; ++i) {
+    for (int tries = 0; ports.size() < n; ++tries) {
+        if (tries == portCount)
+            throw std::runtime_error("cannot bind a socket to a free port on 127.0.0.1");
+        const int port = firstPort + next;
+        next = (next + 1) % portCount;
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        if (bind(fd, reinterpret_cast<sockaddr *>(&address), size) != 0)
-            throw std::runtime_error("cannot bind a socket to a free port on 127.0.0.1");
-        getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-        ports.push_back(ntohs(address.sin_port));
-        sockets.push_back(fd);
-    }
-    for (const int fd : sockets)
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0)
+            ports.push_back(port);
         close(fd);
+    }
     return ports;
 }
 
