Describe the service's access to its host

Found on reading the change again: ForwardHooks had no comment, and its member's name said host, not hooks. No behaviour changes; built, formatted, no test run on it.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -55,8 +55,9 @@
                                adapters::loop::ExchangeClient &client,
                                policy::quarantine::RequestQuarantine &quarantine,
                                ForwardHooks hooks)
-    : m_limits(limits), m_backends(backends), m_client(client), m_host(std::move(hooks)),
-      m_quarantine(quarantine), m_crashMonitor(backends, client, quarantine, m_host.onCrashRecorded)
+    : m_limits(limits), m_backends(backends), m_client(client), m_hostHooks(std::move(hooks)),
+      m_quarantine(quarantine),
+      m_crashMonitor(backends, client, quarantine, m_hostHooks.onCrashRecorded)
 {
     m_hooks.pick = [this](const std::string &service, CallRank rank, const auto &exclude,
                           TimePoint now) -> policy::forward::BackendPtr {
@@ -65,7 +66,7 @@
         return m_backends.pick(service, exclude, now);
     };
     m_hooks.hasUsable = [this](const std::string &service, const auto &exclude, TimePoint now) {
-        return m_backends.hasUsable(service, exclude, now) || !m_host.serversKnown();
+        return m_backends.hasUsable(service, exclude, now) || !m_hostHooks.serversKnown();
     };
     m_hooks.estimateLatency = [this](const std::string &service, CallRank rank, TimePoint now) {
         return m_backends.estimateLatency(service, m_waitQueue.countAhead(service, rank), now);
@@ -141,7 +142,7 @@
         ++m_counters.refused;
         return call.respond(
             errorResponseFor(ResultCode::NoConfiguration, {},
-                             policy::forward::retryDelay(core::Duration{0}, m_host.random())));
+                             policy::forward::retryDelay(core::Duration{0}, m_hostHooks.random())));
     }
     const auto metadata = platform::readRequestMetadata(call.request);
     const auto *route = m_table->find(metadata.host, metadata.path);
@@ -391,7 +392,7 @@
 {
     m_backends.onEnded(*attempt.backend, outcome, attempt.sentAt, now);
     if (outcome != AttemptOutcome::Cancelled)
-        m_host.onAttemptEnded(*attempt.backend, isResponse(outcome), now);
+        m_hostHooks.onAttemptEnded(*attempt.backend, isResponse(outcome), now);
     if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::TimedOut)
         m_hedgeDelay.add(attempt.route, now - attempt.sentAt);
 }
@@ -467,8 +468,9 @@
             policy::forward::mergeTop(bodies, running.call.route().topRecords));
     }
     case CallOutcome::Refused:
-        return errorResponseFor(ResultCode::NoServerAvailable, {},
-                                policy::forward::retryDelay(finish.expectedWait, m_host.random()));
+        return errorResponseFor(
+            ResultCode::NoServerAvailable, {},
+            policy::forward::retryDelay(finish.expectedWait, m_hostHooks.random()));
     case CallOutcome::Failed:
         return errorResponseFor(ResultCode::ServersFailed);
     case CallOutcome::Blocked:
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -43,6 +43,7 @@
     double maxElapsedShare = 0.5;
 };
 
+// Access to the host that the service runs on. All are called on the event loop's thread.
 struct ForwardHooks
 {
     // Returns a uniform number in [0, 1).
@@ -197,7 +198,7 @@
     ForwardLimits m_limits;
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
-    ForwardHooks m_host;
+    ForwardHooks m_hostHooks;
     policy::forward::RouteTablePtr m_table;
     policy::forward::WeightedRoundRobin m_trafficSplit;
     policy::forward::ElapsedTimeEstimator m_elapsedTime;
