Authenticate workspaces and define the interfaces of the new parts

Copies between hosts carry digests instead of keys. The proof of the configuration and the quotas are hooks that allow everything for now. Peer messages, settings, result codes and the decoding of the platform's fields are those of docs/design/README.md.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -127,6 +127,9 @@
     to.setCrashDigest(from.crashDigest);
     if (from.serverResponseAge)
         to.setServerResponseAge(static_cast<std::uint64_t>(from.serverResponseAge->count()) + 1);
+    if (from.proofAge)
+        to.setProofAgeMs(static_cast<std::uint64_t>(from.proofAge->count()) + 1);
+    to.setProofVersion(from.proofVersion);
     auto crashes = to.initCrashes(static_cast<unsigned>(from.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i)
         writeCrash(from.crashes[i], crashes[i]);
@@ -155,6 +158,9 @@
     gossip.crashDigest = from.getCrashDigest();
     if (from.getServerResponseAge() != 0)
         gossip.serverResponseAge = core::Millis(from.getServerResponseAge() - 1);
+    if (from.getProofAgeMs() != 0)
+        gossip.proofAge = core::Millis(from.getProofAgeMs() - 1);
+    gossip.proofVersion = from.getProofVersion();
     for (const auto it : from.getCrashes())
         gossip.crashes.push_back(readCrash(it));
     return gossip;
@@ -248,6 +254,21 @@
     follow.setRevision(from.since.revision);
 }
 
+void writeContent(const ports::QuotaRequest &from, wire::Message::Builder to)
+{
+    auto borrow = to.initBorrowQuota();
+    borrow.setWorkspace(from.workspace);
+    borrow.setWanted(from.wanted);
+    borrow.setReturned(from.returned);
+}
+
+void writeAnswer(const ports::QuotaResponse &from, wire::Message::Builder to)
+{
+    auto lent = to.initLentQuota();
+    lent.setTokens(from.tokens);
+    lent.setWaitMs(from.wait.count());
+}
+
 void writeAnswer(const ports::CopyResponse &from, wire::Message::Builder to)
 {
     auto followed = to.initFollowed();
@@ -257,6 +278,10 @@
     followed.setChanges(asData(from.changes));
     followed.setConfigVersion(from.configVersion);
     followed.setConfirmationAgeMs(from.confirmationAge.count());
+    const auto &zones = from.evacuatedZones;
+    auto evacuated = followed.initEvacuatedZones(static_cast<unsigned>(zones.size()));
+    for (unsigned i = 0; i < evacuated.size(); ++i)
+        evacuated.set(i, zones[i]);
 }
 
 ports::CopyResponse readCopyResponse(wire::Message::Followed::Reader from)
@@ -267,6 +292,8 @@
     response.changes = asString(from.getChanges());
     response.configVersion = from.getConfigVersion();
     response.confirmationAge = core::Millis(std::max<std::int64_t>(0, from.getConfirmationAgeMs()));
+    for (const auto it : from.getEvacuatedZones())
+        response.evacuatedZones.push_back(asString(it));
     return response;
 }
 
@@ -373,6 +400,13 @@
             ports::CopyRequest{{from.getFollow().getEra(), from.getFollow().getRevision()}});
     case wire::Message::FOLLOWED:
         return PeerResponse(readCopyResponse(from.getFollowed()));
+    case wire::Message::BORROW_QUOTA:
+        return PeerRequest(ports::QuotaRequest{asString(from.getBorrowQuota().getWorkspace()),
+                                               from.getBorrowQuota().getWanted(),
+                                               from.getBorrowQuota().getReturned()});
+    case wire::Message::LENT_QUOTA:
+        return PeerResponse(ports::QuotaResponse{from.getLentQuota().getTokens(),
+                                                 core::Millis(from.getLentQuota().getWaitMs())});
     }
     KJ_FAIL_REQUIRE("unknown message type");
 }
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -62,6 +62,9 @@
   crashDigest @15 :UInt64;
   # Age in ms of the last response of a server to the sender, plus 1; 0 if there was none.
   serverResponseAge @16 :UInt64;
+  # Proof that proofVersion was the newest configuration that many ms ago, minus 1; 0 without one.
+  proofAgeMs @17 :UInt64;
+  proofVersion @18 :UInt64;
 }
 
 struct Outcome {
@@ -136,6 +139,19 @@
       changes @30 :Data;
       configVersion @31 :UInt64;
       confirmationAgeMs @32 :Int64;
+      # Zones whose servers get no requests.
+      evacuatedZones @33 :List(Text);
+    }
+    # Borrows tokens of a workspace's quota from its lender, and returns unused ones.
+    borrowQuota :group {
+      workspace @34 :Text;
+      wanted @35 :Int32;
+      returned @36 :Int32;
+    }
+    # waitMs: time until the lender has a further token; without one only.
+    lentQuota :group {
+      tokens @37 :Int32;
+      waitMs @38 :Int64;
     }
   }
 }
--- a/packages/adapters/settings/settings.h
+++ b/packages/adapters/settings/settings.h
@@ -116,6 +116,43 @@
         NumberNode graceS{this, "grace_s", 6, 0.5, 600};
     } forward{this, "forward"};
 
+    // Keys of workspaces.
+    struct Access : Section
+    {
+        using Section::Section;
+        // 1: requests with a key are served only while the host can prove that its configuration
+        // was the newest one at most `revoke_ms` ago.
+        IntegerNode strictRevocation{this, "strict_revocation", 0, 0, 1};
+        IntegerNode revokeMs{this, "revoke_ms", 5000, 500, 600000};
+    } access{this, "access"};
+
+    // Tolerances within which the hosts together keep the workspaces' quotas, in any window.
+    struct Quota : Section
+    {
+        using Section::Section;
+        NumberNode windowS{this, "window_s", 5, 0.1, 3600};
+        // As a fraction of the quota, and in requests.
+        NumberNode overshoot{this, "overshoot", 0.1, 0, 10};
+        NumberNode slack{this, "slack", 20, 0, 1000000};
+    } quota{this, "quota"};
+
+    // Tolerances of the request rate of a cold server, in any second.
+    struct Warmup : Section
+    {
+        using Section::Section;
+        // As a factor of the rate that the server stands, and in requests.
+        NumberNode overshoot{this, "overshoot", 1.5, 1, 10};
+        NumberNode slack{this, "slack", 5, 0, 1000000};
+    } warmup{this, "warmup"};
+
+    struct Evacuation : Section
+    {
+        using Section::Section;
+        // Time within which an evacuation of a zone is in force on all hosts. 0: zones are not
+        // evacuated, and the store is not asked for evacuations.
+        IntegerNode applyMs{this, "apply_ms", 0, 0, 600000};
+    } evacuation{this, "evacuation"};
+
     struct Log : Section
     {
         using Section::Section;
--- a/packages/core/clock.h
+++ b/packages/core/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 // Time types. Decision logic takes the current time as an argument, so that tests can control it.
 namespace goldcrestline::core {
@@ -27,4 +28,24 @@
     return std::chrono::duration_cast<Millis>(sinceEpoch).count();
 }
 
+// Clock that also counts the time for which the machine is suspended, unlike the steady clock. For
+// deadlines that others rely on, such as the age of a proof.
+struct BootClock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    // Thread-safe.
+    static time_point now()
+    {
+        timespec at{};
+        clock_gettime(CLOCK_BOOTTIME, &at);
+        return time_point(std::chrono::seconds(at.tv_sec) + std::chrono::nanoseconds(at.tv_nsec));
+    }
+};
+using BootTimePoint = BootClock::time_point;
+
 } // namespace goldcrestline::core
--- a/packages/core/result_code.cpp
+++ b/packages/core/result_code.cpp
@@ -54,6 +54,8 @@
          "The platform did not confirm the record."},
         {ServerRejected, "server-rejected", refused, 400,
          "The backend server rejected the request unrun."},
+        {UnknownKey, "unknown-key", refused, 401, "The request has no valid API key."},
+        {QuotaExceeded, "quota-exceeded", refused, 429, "The workspace's rate is used up."},
         {OutcomeUnknown, "outcome-unknown", unknown, 502, "The request may have run."},
         {IssuerGone, "issuer-gone", unknown, 502, "The host that issued the key is gone."},
         {KeyExpired, "key-expired", unknown, 410, "The key expired; what it ran is forgotten."},
--- a/packages/core/result_code.h
+++ b/packages/core/result_code.h
@@ -37,6 +37,8 @@
     KeyMalformed = 2032,
     PlatformUnconfirmed = 2033,
     ServerRejected = 2040,
+    UnknownKey = 2050,
+    QuotaExceeded = 2051,
 
     OutcomeUnknown = 3000,
     IssuerGone = 3001,
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -85,6 +85,12 @@
     call.reply(ports::CopyResponse{});
 }
 
+void PeerService::handleRequest(ports::QuotaRequest &, ports::PeerCall &call, TimePoint)
+{
+    // Hosts of plans know no workspaces.
+    call.reply(ports::QuotaResponse{ports::workspaceUnknownTokens, {}});
+}
+
 void PeerService::handleRequest(ports::RunRequest &request, ports::PeerCall &call, TimePoint now)
 {
     m_requests.handleForwarded(std::move(request), now,
--- a/packages/daemon/forward/forward_counters.h
+++ b/packages/daemon/forward/forward_counters.h
@@ -11,7 +11,6 @@
 // Counters of forwarded requests since the process started.
 struct ForwardCounters
 {
-    std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -14,6 +14,7 @@
 #include "daemon/forward/platform_copy.h"
 #include "daemon/forward/quarantine_sync.h"
 #include "daemon/forward/reach_checker.h"
+#include "daemon/forward/request_admission.h"
 #include "daemon/forward/request_relay.h"
 #include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
@@ -108,7 +109,7 @@
           m_reach(m_backends, m_backendClient,
                   [this](bool cutOff, TimePoint now) { onReachChanged(cutOff, now); }),
           m_forward(forwardLimits(), m_backends, m_backendClient, m_quarantine, forwardHooks()),
-          m_relayClient(m_io, relayOptions()),
+          m_admission(admissionHooks()), m_relayClient(m_io, relayOptions()),
           m_relay(m_settings->host.zone.value, m_relayClient,
                   {[this] { return otherHosts(); }, [this] { return uniform(); }}),
           m_link(m_io, m_settings->listen.peers.value,
@@ -199,11 +200,29 @@
 
     ForwardHooks forwardHooks()
     {
-        return {[this] { return uniform(); }, [this] { return m_copy.serversKnown(); },
-                [this] { onCrashRecorded(); },
-                [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
-                    m_reach.onAttempt(backend, responded, now);
-                }};
+        return {
+            [this] { return uniform(); },
+            [this] { return m_copy.serversKnown(); },
+            [this] { onCrashRecorded(); },
+            [this](const std::string &keyDigest) { return m_admission.accessAllowed(keyDigest); },
+            [](const std::string &, TimePoint) {},
+            [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
+                m_reach.onAttempt(backend, responded, now);
+            }};
+    }
+
+    RequestAdmission::Hooks admissionHooks()
+    {
+        RequestAdmission::Hooks hooks;
+        hooks.random = [this] { return uniform(); };
+        hooks.configurationProven = [] { return true; };
+        hooks.admitQuota = [](const policy::access::Workspace &, TimePoint now,
+                              const RequestAdmission::QuotaHandler &decide) { decide({}, now); };
+        hooks.returnQuota = [](const std::string &, TimePoint) {};
+        hooks.forward = [this](AdmittedRequest request, TimePoint now) {
+            m_forward.handle(std::move(request), now);
+        };
+        return hooks;
     }
 
     // Tells the other hosts, which name this one to callers.
@@ -225,7 +244,7 @@
     // Recomputes this host's share of the fleet-wide limits from the current members.
     void updateQuota(TimePoint now)
     {
-        m_quota.update(m_members, m_forward.counters().requests, now);
+        m_quota.update(m_members, m_admission.counters().requests, now);
         m_backends.setLimitShare(m_quota.demandShare());
         m_forward.setExtraBurst(m_quota.extraBurst());
         m_backendClient.setIdleTimeout(
@@ -247,7 +266,7 @@
     // Returns how many connections this host may have to one server of the service.
     int connectionLimit(const std::string &service) const
     {
-        const auto &routes = m_forward.routes();
+        const auto &routes = m_admission.routes();
         if (!routes)
             return 1;
         const auto it = routes->services().find(service);
@@ -359,7 +378,7 @@
         m_callers.setLimits(limits);
         if (m_relayServer)
             m_relayServer->setLimits(relayLimits(limits));
-        m_forward.setRoutes(std::move(table));
+        m_admission.setRoutes(std::move(table));
     }
 
     void onPeer(ports::PeerCall call)
@@ -370,6 +389,8 @@
                                   ? m_quarantineSync.handleFetch(now)
                                   : m_copy.handleFetch(fetch->kind));
         }
+        if (std::holds_alternative<ports::QuotaRequest>(call.request))
+            return call.reply(ports::QuotaResponse{ports::workspaceUnknownTokens, {}});
         if (const auto *follower = std::get_if<ports::CopyRequest>(&call.request))
             return call.reply(m_copy.handleFollower(*follower, now));
         m_membership.handle(std::move(call), now);
@@ -378,7 +399,7 @@
     // Relays a request if this host reaches no server; returns whether it did.
     bool relay(HttpCall &call, TimePoint now)
     {
-        const auto &routes = m_forward.routes();
+        const auto &routes = m_admission.routes();
         if (!m_reach.cutOff() || !routes)
             return false;
         const auto metadata = platform::readRequestMetadata(call.request);
@@ -390,11 +411,11 @@
     {
         return {[this](HttpCall call, TimePoint now) {
                     if (!relay(call, now))
-                        m_forward.handle(std::move(call), now);
+                        m_admission.handle(std::move(call), now);
                     arm(now);
                 },
                 [this](std::uint64_t id, TimePoint now) {
-                    if (!m_relay.onCallerDisconnect(id))
+                    if (!m_relay.onCallerDisconnect(id) && !m_admission.onCallerDisconnect(id))
                         m_forward.onCallerDisconnect(id, now);
                 },
                 malformedRequestResponse};
@@ -406,11 +427,12 @@
         return {[this](HttpCall call, TimePoint now) {
                     call.id |= relayedCallBit;
                     receiveRelayed(call);
-                    m_forward.handle(std::move(call), now);
+                    m_admission.handle(std::move(call), now);
                     arm(now);
                 },
                 [this](std::uint64_t id, TimePoint now) {
-                    m_forward.onCallerDisconnect(id | relayedCallBit, now);
+                    if (!m_admission.onCallerDisconnect(id | relayedCallBit))
+                        m_forward.onCallerDisconnect(id | relayedCallBit, now);
                 },
                 malformedRequestResponse};
     }
@@ -460,12 +482,14 @@
         gauges.requestsRelayed = m_relay.relayed();
         gauges.requestsSuspected = m_quarantine.requestCount();
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
-        return {200, {{"Content-Type", "text/plain"}}, formatMetrics(gauges, m_forward.counters())};
+        return {200,
+                {{"Content-Type", "text/plain"}},
+                formatMetrics(gauges, m_forward.counters(), m_admission.counters())};
     }
 
     bool ready() const
     {
-        return !m_stopping && m_forward.routes() != nullptr && m_copy.serversKnown();
+        return !m_stopping && m_admission.routes() != nullptr && m_copy.serversKnown();
     }
 
     ports::OutgoingResponse resolve(const platform::ResolveRequest &request)
@@ -671,6 +695,7 @@
     policy::quarantine::RequestQuarantine m_quarantine;
     ReachChecker m_reach;
     ForwardService m_forward;
+    RequestAdmission m_admission;
     ExchangeClient m_relayClient;
     RequestRelay m_relay;
     adapters::peers::LoopPeerLink m_link;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -88,6 +88,8 @@
 SendPermission ForwardService::permission(std::uint64_t id, TimePoint now) const
 {
     const auto &running = *m_calls.at(id);
+    if (!running.workspace.empty() && !m_hostHooks.accessAllowed(running.keyDigest))
+        return SendPermission::Withdrawn;
     if (running.attemptsHeld > 0)
         return SendPermission::Later;
     if (m_quarantine.empty())
@@ -121,11 +123,6 @@
         .first->second;
 }
 
-void ForwardService::setRoutes(policy::forward::RouteTablePtr table)
-{
-    m_table = std::move(table);
-}
-
 void ForwardService::setExtraBurst(double burst)
 {
     if (burst == m_limits.extraBurst)
@@ -135,64 +132,49 @@
         it.second.setBurst(burst);
 }
 
-void ForwardService::handle(adapters::loop::HttpCall call, TimePoint now)
-{
-    ++m_counters.requests;
-    if (!m_table) {
-        ++m_counters.refused;
-        return call.respond(
-            errorResponseFor(ResultCode::NoConfiguration, {},
-                             policy::forward::retryDelay(core::Duration{0}, m_hostHooks.random())));
-    }
-    const auto metadata = platform::readRequestMetadata(call.request);
-    const auto *route = m_table->find(metadata.host, metadata.path);
-    if (route == nullptr) {
-        log.info("no route id=" + metadata.requestId + " host=" + metadata.host
-                 + " path=" + metadata.path + " version=" + std::to_string(m_table->version()));
-        return call.respond(errorResponseFor(ResultCode::NoRoute));
-    }
-    begin(call, metadata, *route, now);
-}
-
-policy::forward::CallTimes ForwardService::makeCallTimes(const platform::RequestMetadata &metadata,
-                                                         const Route &route, TimePoint now)
+policy::forward::CallTimes ForwardService::makeCallTimes(const AdmittedRequest &request)
 {
+    const auto &route = *request.route;
+    const auto receivedAt = request.receivedAt;
     auto timeout = route.timeout;
     core::Millis elapsedBefore{0};
-    if (metadata.callerTimeout) {
-        timeout = std::min(timeout, *metadata.callerTimeout - m_limits.callerRoundTrip);
+    if (const auto callerTimeout = request.metadata.callerTimeout) {
+        timeout = std::min(timeout, *callerTimeout - m_limits.callerRoundTrip);
         const core::Millis maxElapsed(static_cast<std::int64_t>(
             m_limits.maxElapsedShare * static_cast<double>(route.objective.count())));
         elapsedBefore =
-            std::min(maxElapsed, m_elapsedTime.elapsed(route.name, *metadata.callerTimeout, now));
+            std::min(maxElapsed, m_elapsedTime.elapsed(route.name, *callerTimeout, receivedAt));
     }
     policy::forward::CallTimes times;
-    times.startedAt = now;
-    times.deadline = now + timeout;
-    times.objectiveAt = now + route.objective - elapsedBefore - m_limits.callerRoundTrip;
-    times.refuseAt =
-        now + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.maxQueueShare);
+    times.startedAt = receivedAt;
+    times.deadline = receivedAt + timeout;
+    times.objectiveAt = receivedAt + route.objective - elapsedBefore - m_limits.callerRoundTrip;
+    times.refuseAt = receivedAt
+        + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.maxQueueShare);
     return times;
 }
 
-void ForwardService::begin(adapters::loop::HttpCall &call,
-                           const platform::RequestMetadata &metadata, const Route &route,
-                           TimePoint now)
+void ForwardService::handle(AdmittedRequest request, TimePoint now)
 {
+    const auto &route = *request.route;
+    auto &call = request.call;
     auto services = route.shards;
     if (!route.fansOut())
         services.push_back(m_trafficSplit.next(route));
     const auto parts = services.size();
     const auto id = ++m_lastCall;
+    const CallRank rank{request.priority, 0, id};
     auto running = std::make_unique<RunningCall>(
-        Call(m_table, route, std::move(services), id, makeCallTimes(metadata, route, now), m_hooks),
+        Call(request.table, route, std::move(services), rank, makeCallTimes(request), m_hooks),
         std::move(call.respond));
-    running->requestId = metadata.requestId;
+    running->requestId = request.metadata.requestId;
+    running->workspace = std::move(request.workspace);
+    running->keyDigest = std::move(request.keyDigest);
     running->head = std::make_shared<const std::string>(platform::sharedHead(call.request));
     running->body = std::make_shared<const std::string>(std::move(call.request.body));
     running->content = std::make_shared<const policy::quarantine::RequestContent>(
-        std::move(call.callerAddress), call.request.method, metadata.host, call.request.target,
-        running->body);
+        std::move(call.callerAddress), call.request.method, request.metadata.host,
+        call.request.target, running->body);
     running->bodyless = call.request.method == "HEAD";
     running->parts.resize(parts);
     auto &stored = *running;
@@ -442,6 +424,8 @@
     m_byHttpCall.erase(running.httpCallId);
     const auto ended = std::move(m_calls[id]);
     m_calls.erase(id);
+    if (finish.outcome == CallOutcome::Refused && !ended->workspace.empty())
+        m_hostHooks.onNotExecuted(ended->workspace, now);
     ended->respond(makeResponse(*ended, finish));
 }
 
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -53,11 +53,31 @@
     std::function<bool()> serversKnown;
     // Called when this host adds a crash to the quarantine.
     std::function<void()> onCrashRecorded;
+    // Returns whether requests with the key of this digest may still be sent to servers.
+    std::function<bool(const std::string &keyDigest)> accessAllowed;
+    // Called for a request of a workspace that ended without having been executed.
+    std::function<void(const std::string &workspace, core::TimePoint now)> onNotExecuted;
     // Called for each attempt that ended, with a response of the server or without.
     std::function<void(const policy::forward::Backend &, bool responded, core::TimePoint now)>
         onAttemptEnded;
 };
 
+// A caller's request that may be forwarded.
+struct AdmittedRequest
+{
+    adapters::loop::HttpCall call;
+    platform::RequestMetadata metadata;
+    // `route` belongs to `table`.
+    policy::forward::RouteTablePtr table;
+    const policy::forward::Route *route = nullptr;
+    // Workspace and digest of the caller's key; empty without one.
+    std::string workspace;
+    std::string keyDigest;
+    // Priority of the workspace, or else of the route; 0 is the most urgent.
+    int priority = 0;
+    core::TimePoint receivedAt{};
+};
+
 // Forwards callers' requests to servers along their routes. Not thread-safe: use only on the event
 // loop's thread.
 class ForwardService
@@ -68,16 +88,12 @@
                    adapters::loop::ExchangeClient &client,
                    policy::quarantine::RequestQuarantine &quarantine, ForwardHooks hooks);
 
-    // Replaces the route table. Calls in progress keep the table that they started with.
-    void setRoutes(policy::forward::RouteTablePtr table);
-    const policy::forward::RouteTablePtr &routes() const { return m_table; }
-
     // Sets the burst of extra attempts to one service.
     void setExtraBurst(double burst);
 
-    // Starts forwarding a request. `call.respond` is called once, unless the caller disconnects
-    // first.
-    void handle(adapters::loop::HttpCall call, core::TimePoint now);
+    // Starts forwarding a request. `request.call.respond` is called once, unless the caller
+    // disconnects first.
+    void handle(AdmittedRequest request, core::TimePoint now);
 
     // Cancels the call whose caller closed its connection. `httpCallId` is its id at the HTTP
     // server.
@@ -113,6 +129,9 @@
         // Id of the call at the HTTP server.
         std::uint64_t httpCallId = 0;
         std::string requestId;
+        // Empty for a request without a key.
+        std::string workspace;
+        std::string keyDigest;
         policy::quarantine::RequestContentPtr content;
         std::shared_ptr<const std::string> head;
         std::shared_ptr<const std::string> body;
@@ -145,11 +164,7 @@
     // Returns whether another call sent the same content to a server that has not responded yet.
     bool isRunningElsewhere(std::uint64_t id,
                             const policy::quarantine::RequestContent &content) const;
-    void begin(adapters::loop::HttpCall &call, const platform::RequestMetadata &metadata,
-               const policy::forward::Route &route, core::TimePoint now);
-    policy::forward::CallTimes makeCallTimes(const platform::RequestMetadata &metadata,
-                                             const policy::forward::Route &route,
-                                             core::TimePoint now);
+    policy::forward::CallTimes makeCallTimes(const AdmittedRequest &request);
     // Carries out the actions that a call's state machine returned.
     void apply(std::uint64_t id, policy::forward::CallActions &actions, core::TimePoint now);
     void send(std::uint64_t id, RunningCall &running, const policy::forward::Send &sendAction,
@@ -199,7 +214,6 @@
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
     ForwardHooks m_hostHooks;
-    policy::forward::RouteTablePtr m_table;
     policy::forward::WeightedRoundRobin m_trafficSplit;
     policy::forward::ElapsedTimeEstimator m_elapsedTime;
     policy::forward::HedgeDelayTracker m_hedgeDelay;
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -11,7 +11,8 @@
 
 } // namespace
 
-std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters)
+std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters,
+                          const AdmissionCounters &admission)
 {
     std::string out;
     appendLine(out, "configuration_version", gauges.version);
@@ -29,10 +30,15 @@
     appendLine(out, "server_bytes_total", gauges.serverBytes);
     appendLine(out, "processor_use_percent", gauges.processorUsePercent);
     appendLine(out, "stopping", gauges.stopping ? 1 : 0);
-    appendLine(out, "requests_total", counters.requests);
+    appendLine(out, "requests_total", admission.requests);
     appendLine(out, "requests_answered_total", counters.answered);
     appendLine(out, "requests_thin_total", counters.partial);
-    appendLine(out, "requests_refused_total", counters.refused);
+    appendLine(out, "requests_refused_total",
+               counters.refused + admission.noConfiguration + admission.unproven);
+    appendLine(out, "requests_no_route_total", admission.noRoute);
+    appendLine(out, "requests_unknown_key_total", admission.unknownKey);
+    appendLine(out, "requests_unproven_total", admission.unproven);
+    appendLine(out, "requests_over_quota_total", admission.overQuota);
     appendLine(out, "requests_failed_total", counters.failed);
     appendLine(out, "requests_timed_out_total", counters.timedOut);
     appendLine(out, "callers_left_total", counters.callersDisconnected);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/forward/forward_counters.h"
+#include "daemon/forward/request_admission.h"
 #include "ports/peer_link.h"
 
 #include <cstdint>
@@ -44,6 +45,7 @@
 };
 
 // Returns the metrics in text form, with one name and value per line. Thread-safe.
-std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters);
+std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters,
+                          const AdmissionCounters &admission);
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -115,7 +115,7 @@
     if (m_table && table.value()->version() <= m_table->version())
         return;
     m_table = std::move(table.value());
-    m_configText = spec.dump();
+    m_configText = platform::withKeyDigests(spec).dump();
     m_highestVersion = std::max(m_highestVersion, m_table->version());
     log.info("configuration in force version=" + std::to_string(m_table->version())
              + " from=" + from + " routes=" + std::to_string(m_table->routes().size()));
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -22,14 +22,14 @@
 } // namespace
 
 Call::Call(RouteTablePtr table, const Route &route, std::vector<std::string> services,
-           std::uint64_t sequence, CallTimes times, const CallHooks &hooks)
-    : m_table(std::move(table)), m_route(route), m_services(std::move(services)),
-      m_sequence(sequence), m_times(times), m_hooks(hooks), m_parts(m_services.size())
+           CallRank rank, CallTimes times, const CallHooks &hooks)
+    : m_table(std::move(table)), m_route(route), m_services(std::move(services)), m_rank(rank),
+      m_times(times), m_hooks(hooks), m_parts(m_services.size())
 { }
 
 void Call::start(TimePoint now, CallActions &out)
 {
-    if (m_hooks.permission(m_sequence, now) == SendPermission::Never)
+    if (m_hooks.permission(m_rank.sequence, now) == SendPermission::Never)
         return finish(CallOutcome::Blocked, out);
     admit(now, out);
     if (m_finished)
@@ -121,7 +121,7 @@
 {
     auto &state = m_parts[part];
     state.heldBack = false;
-    switch (m_hooks.permission(m_sequence, now)) {
+    switch (m_hooks.permission(m_rank.sequence, now)) {
     case SendPermission::Any:
         return true;
     case SendPermission::OneAtATime:
@@ -141,6 +141,9 @@
         m_blocked = true;
         state.lost = state.inFlight == 0;
         return false;
+    case SendPermission::Withdrawn:
+        state.lost = state.inFlight == 0;
+        return false;
     case SendPermission::Later:
         break;
     }
@@ -335,7 +338,7 @@
     state.hedgeAt = TimePoint::max();
     if (state.done || state.inFlight != 1 || !mayRetry(state))
         return;
-    if (m_hooks.permission(m_sequence, now) != SendPermission::Any) {
+    if (m_hooks.permission(m_rank.sequence, now) != SendPermission::Any) {
         state.hedgeAt = now + retryInterval;
         return;
     }
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -66,8 +66,10 @@
     Once,
     // None for now.
     Later,
-    // None any more.
+    // None any more, because the request crashes servers.
     Never,
+    // None any more, because the caller's access can no longer be proven.
+    Withdrawn,
 };
 
 // Times of one call, on the steady clock.
@@ -107,12 +109,15 @@
 {
     // 0 is the most urgent.
     int priority = 0;
+    // Start tag of the call's share of the servers; lower ones go first.
+    double startTag = 0;
     // Increases with each call.
     std::uint64_t sequence = 0;
 
     bool operator<(const CallRank &other) const
     {
-        return std::tie(priority, sequence) < std::tie(other.priority, other.sequence);
+        return std::tie(priority, startTag, sequence)
+            < std::tie(other.priority, other.startTag, other.sequence);
     }
 };
 
@@ -153,8 +158,8 @@
     // `services` contains the service of each part: one for a plain route, all shards for a
     // fan-out. Preconditions: `services` is not empty; `route` is in `table`; the hooks outlive the
     // call.
-    Call(RouteTablePtr table, const Route &route, std::vector<std::string> services,
-         std::uint64_t sequence, CallTimes times, const CallHooks &hooks);
+    Call(RouteTablePtr table, const Route &route, std::vector<std::string> services, CallRank rank,
+         CallTimes times, const CallHooks &hooks);
 
     // Sends the first attempts, or refuses the call if their responses are expected too late. Call
     // once.
@@ -176,7 +181,7 @@
     // Returns when onTimer() has to be called next.
     core::TimePoint nextTimer(core::TimePoint now) const;
 
-    CallRank rank() const { return {m_route.priority, m_sequence}; }
+    CallRank rank() const { return m_rank; }
     bool finished() const { return m_finished; }
     const Route &route() const { return m_route; }
     const CallTimes &times() const { return m_times; }
@@ -266,7 +271,7 @@
     RouteTablePtr m_table;
     const Route &m_route;
     std::vector<std::string> m_services;
-    std::uint64_t m_sequence;
+    CallRank m_rank;
     CallTimes m_times;
     const CallHooks &m_hooks;
     std::vector<Part> m_parts;
--- a/packages/policy/forward/route.cpp
+++ b/packages/policy/forward/route.cpp
@@ -18,9 +18,10 @@
 } // namespace
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
-                       std::map<std::string, ServiceTraits> services, CallerLimits callerLimits)
+                       std::map<std::string, ServiceTraits> services, CallerLimits callerLimits,
+                       access::KeyTablePtr workspaces)
     : m_version(version), m_routes(std::move(routes)), m_services(std::move(services)),
-      m_callerLimits(callerLimits)
+      m_callerLimits(callerLimits), m_workspaces(std::move(workspaces))
 {
     for (const auto &it : m_routes)
         m_byHost[lowerCase(it.host)].push_back(&it);
--- a/packages/policy/forward/route.h
+++ b/packages/policy/forward/route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "policy/access/key_table.h"
 
 #include <cstdint>
 #include <map>
@@ -46,6 +47,10 @@
     std::size_t topRecords = 0;
     // Smallest share of the shards, 0 to 1, that makes a response a success.
     double minShardShare = 1;
+    // Requests need no key, also where the configuration has workspaces.
+    bool anonymous = false;
+    // Regions whose servers may run the requests; empty for all.
+    std::vector<std::string> allowedRegions;
 
     bool fansOut() const { return !shards.empty(); }
 };
@@ -64,6 +69,10 @@
 {
     // Connections that one server accepts from all hosts in total.
     int connections = 1;
+    // Time after its start for which a server is cold, and the requests per second that a cold
+    // server stands from all hosts together; 0 for no limit.
+    core::Millis warmup{0};
+    double warmupPerSecond = 0;
 };
 
 // All routes of one configuration version. Immutable, so that a request keeps using the version
@@ -72,7 +81,8 @@
 {
 public:
     RouteTable(std::uint64_t version, std::vector<Route> routes,
-               std::map<std::string, ServiceTraits> services, CallerLimits callerLimits);
+               std::map<std::string, ServiceTraits> services, CallerLimits callerLimits,
+               access::KeyTablePtr workspaces = nullptr);
 
     // Returns the route of `host` with the longest prefix of `path`, or null. Host names are
     // compared without case. Thread-safe.
@@ -82,12 +92,15 @@
     const std::vector<Route> &routes() const { return m_routes; }
     const std::map<std::string, ServiceTraits> &services() const { return m_services; }
     const CallerLimits &callerLimits() const { return m_callerLimits; }
+    // Returns the workspaces and their keys; null if requests need no keys.
+    const access::KeyTablePtr &workspaces() const { return m_workspaces; }
 
 private:
     std::uint64_t m_version;
     std::vector<Route> m_routes;
     std::map<std::string, ServiceTraits> m_services;
     CallerLimits m_callerLimits;
+    access::KeyTablePtr m_workspaces;
     // Routes by lower-case host name, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost;
 };
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -46,6 +46,10 @@
     std::uint64_t crashDigest = 0;
     // Age of the last response of a server to the sender, if there was one.
     std::optional<core::Millis> serverResponseAge;
+    // Age of the sender's newest proof that `proofVersion` was the newest configuration, if it has
+    // one.
+    std::optional<core::Millis> proofAge;
+    std::uint64_t proofVersion = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
@@ -96,6 +100,8 @@
     std::uint64_t configVersion = 0;
     // Age of the newest proof that the receiver's copies are those of the store.
     core::Millis confirmationAge{0};
+    // Zones whose servers get no requests.
+    std::vector<std::string> evacuatedZones;
 };
 
 // A caller's request with an idempotency key, forwarded to the host that decides on the key.
@@ -127,6 +133,23 @@
     int tokens = 0;
 };
 
+// For routes: requests tokens of a workspace's quota from its lender.
+struct QuotaRequest
+{
+    std::string workspace;
+    int wanted = 0;
+    // Tokens of earlier loans that were not used.
+    int returned = 0;
+};
+struct QuotaResponse
+{
+    // workspaceUnknownTokens if the lender does not know the workspace.
+    int tokens = 0;
+    // Time until the lender has a further token, if it had fewer than wanted.
+    core::Millis wait{0};
+};
+inline constexpr int workspaceUnknownTokens = -1;
+
 // Hands the sealed ledger of a stopping host over to its successor.
 struct AdoptRequest
 {
@@ -144,9 +167,9 @@
 };
 
 using PeerRequest = std::variant<Gossip, ProbeRequest, FetchRequest, RunRequest, BorrowRequest,
-                                 AdoptRequest, CopyRequest>;
+                                 AdoptRequest, CopyRequest, QuotaRequest>;
 using PeerResponse = std::variant<Gossip, ProbeResponse, FetchResponse, RunResponse, BorrowResponse,
-                                  AdoptResponse, CopyResponse>;
+                                  AdoptResponse, CopyResponse, QuotaResponse>;
 
 // Outcome of a call to a peer.
 enum class PeerOutcome {
--- a/tests/unit/call_environment.h
+++ b/tests/unit/call_environment.h
@@ -125,8 +125,8 @@
 
     CallDriver(CallEnvironment &environment, Route route)
         : environment(environment), table(makeTable(std::move(route))),
-          call(table, table->routes().front(), servicesOf(table->routes().front()), 1, makeTimes(),
-               environment.hooks)
+          call(table, table->routes().front(), servicesOf(table->routes().front()),
+               CallRank{table->routes().front().priority, 0, 1}, makeTimes(), environment.hooks)
     {
         step([&](CallActions &out) { call.start(start, out); });
     }
--- a/tests/unit/forward_admission_test.cpp
+++ b/tests/unit/forward_admission_test.cpp
@@ -72,7 +72,7 @@
     CallEnvironment environment;
     environment.add("s", 2);
     const auto table = makeTable(makePlainRoute(Idempotency::NonIdempotent));
-    Call call(table, table->routes().front(), {"s"}, 1,
+    Call call(table, table->routes().front(), {"s"}, CallRank{0, 0, 1},
               {start, start + 90ms, start - 1ms, start + 20ms}, environment.hooks);
     CallActions out;
     call.start(start, out);
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -177,8 +177,8 @@
         const auto id = ++m_lastCall;
         auto &running = m_calls[id];
         running = {type,
-                   std::make_unique<Call>(table, table->routes().front(), route.shards, id, times,
-                                          m_hooks),
+                   std::make_unique<Call>(table, table->routes().front(), route.shards,
+                                          CallRank{type.priority, 0, id}, times, m_hooks),
                    m_now,
                    {}};
         ++m_counts[type.name].requests;
