Follow at once after an outage of the store that a host's own watch did not outlive

A host whose own watch never worked stops as soon as its watchers confirm again, and hosts that no others follow wait up to three times as long between failed calls on large fleets.

The test fails on the code before, where the role does not know whether its watch works.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -33,6 +33,10 @@
 // per live host, so that one of them soon notices a store that answers no watch, however many there
 // are, and the others by its news.
 constexpr core::Millis watchWaitPerHost{1500};
+// Above this number of live hosts, those that no others follow wait longer after failed calls, up
+// to the maximum factor: billed calls, of which the followed hosts' are enough.
+constexpr double hostsPerBackoff = 40;
+constexpr double maxBackoffScale = 3;
 // Age reported without any confirmation.
 constexpr core::Millis unconfirmedAge{3600000};
 
@@ -53,7 +57,23 @@
 
 policy::mirror::Mirror PlatformCopy::makeMirror()
 {
-    return {{}, [this] { return 0.5 + m_hooks.random() / 2; }};
+    return {{}, [this] { return backoffFactor(); }};
+}
+
+double PlatformCopy::backoffFactor() const
+{
+    const double jitter = 0.5 + m_hooks.random() / 2;
+    if (m_role.followed())
+        return jitter;
+    // While the store is down for all hosts, the sum of their calls does not grow with the hosts.
+    const auto scale = static_cast<double>(m_liveHosts) / hostsPerBackoff;
+    return jitter * std::clamp(scale, 1.0, maxBackoffScale);
+}
+
+bool PlatformCopy::ownWatchWorks() const
+{
+    return m_wasWatching && m_servers.mirror().complete() && !m_servers.mirror().failing()
+        && !m_config.mirror().failing();
 }
 
 StoreSync::Hooks PlatformCopy::configHooks()
@@ -127,7 +147,7 @@
 {
     m_liveHosts = live.size();
     // Before the operator writes the first configuration, the server list is all there is.
-    m_role.update(live, self, serversKnown(), now);
+    m_role.update(live, self, {serversKnown(), ownWatchWorks()}, now);
     if (m_role.watching() == m_wasWatching)
         return;
     m_wasWatching = m_role.watching();
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -84,6 +84,10 @@
     StoreSync::Hooks configHooks();
     StoreSync::Hooks serverHooks();
     policy::mirror::Mirror makeMirror();
+    // Returns the random factor of the next backoff of calls to the store.
+    double backoffFactor() const;
+    // Returns whether this host's own watches of the store work.
+    bool ownWatchWorks() const;
     // Records that the server list equals the store's.
     void onServersSynced(bool watched, core::TimePoint now);
     // Applies the response of a followed host; returns false if it is of an earlier era.
--- a/packages/policy/mirror/watch_role.cpp
+++ b/packages/policy/mirror/watch_role.cpp
@@ -11,7 +11,7 @@
 using membership::Member;
 using membership::MemberState;
 
-void WatchRole::update(const std::vector<Member> &live, const Member &self, bool hasCopies,
+void WatchRole::update(const std::vector<Member> &live, const Member &self, OwnState own,
                        TimePoint now)
 {
     if (m_startedAt == TimePoint{})
@@ -33,15 +33,15 @@
         for (const auto &it : hosts)
             m_watchers.push_back(it.peersAddress);
     }
-    m_watching = shouldWatch(shared, hasCopies, now);
+    m_watching = shouldWatch(shared, own, now);
 }
 
-bool WatchRole::shouldWatch(bool shared, bool hasCopies, TimePoint now)
+bool WatchRole::shouldWatch(bool shared, OwnState own, TimePoint now)
 {
     if (m_followed)
         return true;
     const bool waited = now - m_startedAt >= m_startupDelay;
-    if (!hasCopies)
+    if (!own.hasCopies)
         return waited;
     if (!shared) {
         m_followingSince = {};
@@ -50,8 +50,12 @@
     if (m_followingSince == TimePoint{})
         m_followingSince = now;
     const auto confirmedAt = std::max(m_confirmedAt, m_followingSince);
-    if (now - confirmedAt > m_timings.maxConfirmationAge)
+    if (now - confirmedAt > m_timings.maxConfirmationAge) {
         m_recoveredAt = now + m_timings.recoveryTime;
+    } else if (!own.watchWorks) {
+        // The store was down for all hosts: a watch of its own would begin with a list.
+        m_recoveredAt = {};
+    }
     return now < m_recoveredAt;
 }
 
--- a/packages/policy/mirror/watch_role.h
+++ b/packages/policy/mirror/watch_role.h
@@ -18,7 +18,8 @@
     // the time to poll the followed hosts it stays below the shortest time within which a change
     // must be in force on fleets of this size.
     core::Duration maxConfirmationAge = std::chrono::milliseconds(2500);
-    // Time for which a host that found its confirmations too old goes on watching by itself.
+    // Time for which a host that found its confirmations too old goes on watching by itself, if it
+    // reaches the store.
     core::Duration recoveryTime = std::chrono::seconds(5);
 };
 
@@ -35,10 +36,18 @@
     // reads the store itself.
     void setStartupDelay(core::Duration delay) { m_startupDelay = delay; }
 
-    // Recomputes the role from the live hosts, `self` included. `hasCopies`: this host has a copy
-    // of all that others watch. Call once per membership period.
+    // What this host has of its own.
+    struct OwnState
+    {
+        // A copy of all that others watch.
+        bool hasCopies = false;
+        // Its own watches of the store work.
+        bool watchWorks = false;
+    };
+
+    // Recomputes the role from the live hosts, `self` included. Call once per membership period.
     void update(const std::vector<membership::Member> &live, const membership::Member &self,
-                bool hasCopies, core::TimePoint now);
+                OwnState own, core::TimePoint now);
 
     // Records that a followed host reported the age of its newest confirmation. Precondition:
     // `requestedAt` is the time at which the report was requested, so that the age is never
@@ -56,7 +65,7 @@
     std::optional<core::Duration> confirmationAge(core::TimePoint now) const;
 
 private:
-    bool shouldWatch(bool shared, bool hasCopies, core::TimePoint now);
+    bool shouldWatch(bool shared, OwnState own, core::TimePoint now);
 
     WatchRoleTimings m_timings;
     core::Duration m_startupDelay{0};
--- a/tests/unit/copy_follower_test.cpp
+++ b/tests/unit/copy_follower_test.cpp
@@ -47,7 +47,7 @@
             hosts.push_back(it);
         }
         for (std::size_t i = 0; role.watchers().empty(); ++i)
-            role.update(hosts, hosts[i], true, now);
+            role.update(hosts, hosts[i], {true, true}, now);
         link.response.version = {1, 1};
         link.response.confirmationAge = core::Millis(100);
     }
--- a/tests/unit/watch_role_test.cpp
+++ b/tests/unit/watch_role_test.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 const TimePoint start = TimePoint{} + 1h;
+// A host that has copies and whose own watches work.
+const WatchRole::OwnState copies{true, true};
 
 std::vector<Member> makeHosts(int count, const std::string &zone = "a")
 {
@@ -32,8 +34,8 @@
     int n = 0;
     for (const auto &it : hosts) {
         WatchRole role({});
-        role.update(hosts, it, true, start);
-        role.update(hosts, it, true, now);
+        role.update(hosts, it, copies, start);
+        role.update(hosts, it, copies, now);
         n += role.watching() ? 1 : 0;
     }
     return n;
@@ -44,7 +46,7 @@
 {
     for (const auto &it : hosts) {
         WatchRole role({});
-        role.update(hosts, it, true, start);
+        role.update(hosts, it, copies, start);
         if (!role.followed())
             return it;
     }
@@ -71,14 +73,14 @@
     role.setStartupDelay(250ms);
     const bool knowsOthers = GENERATE(false, true);
     const auto live = knowsOthers ? hosts : std::vector<Member>{self};
-    role.update(live, self, false, start);
+    role.update(live, self, {}, start);
     CHECK_FALSE(role.watching());
-    role.update(live, self, false, start + 200ms);
+    role.update(live, self, {}, start + 200ms);
     CHECK_FALSE(role.watching());
-    role.update(live, self, false, start + 300ms);
+    role.update(live, self, {}, start + 300ms);
     CHECK(role.watching());
     // With copies it watches on only if it has no one to follow.
-    role.update(live, self, true, start + 400ms);
+    role.update(live, self, copies, start + 400ms);
     CHECK(role.watching() == !knowsOthers);
 }
 
@@ -93,7 +95,7 @@
         for (const auto end = now + length; now < end; now += 300ms) {
             if (age)
                 role.onConfirmation(*age, now - 10ms);
-            role.update(hosts, self, true, now);
+            role.update(hosts, self, copies, now);
         }
     };
     run(10s, 500ms);
@@ -120,7 +122,7 @@
     auto hosts = makeHosts(10);
     const auto self = followerOf(hosts);
     WatchRole role({});
-    role.update(hosts, self, true, start);
+    role.update(hosts, self, copies, start);
     const auto before = role.watchers();
     REQUIRE(before.size() == 2);
     for (auto &it : hosts) {
@@ -129,8 +131,30 @@
         if (it.peersAddress == before[1])
             it.state = policy::membership::MemberState::Suspect;
     }
-    role.update(hosts, self, true, start + 300ms);
+    role.update(hosts, self, copies, start + 300ms);
     for (const auto &it : role.watchers())
         CHECK(std::find(before.begin(), before.end(), it) == before.end());
     CHECK((role.watchers().size() == 2 || role.followed()));
 }
+
+// Hosts of a large fleet that all listed everything again after an outage of the store made most of
+// a day's calls.
+TEST_CASE("a host whose own watch never worked follows at once when its watchers confirm again")
+{
+    const auto hosts = makeHosts(40);
+    const auto self = followerOf(hosts);
+    for (const bool works : {false, true}) {
+        WatchRole role({});
+        role.update(hosts, self, copies, start);
+        role.onConfirmation(0ms, start);
+        auto now = start + 3s;
+        role.update(hosts, self, {true, false}, now);
+        CHECK(role.watching());
+        now += 4s;
+        role.update(hosts, self, {true, works}, now);
+        CHECK(role.watching());
+        role.onConfirmation(0ms, now);
+        role.update(hosts, self, {true, works}, now + 300ms);
+        CHECK(role.watching() == works);
+    }
+}
