Renew the watches of a host that others begin to follow

Cause: 7 s after the joint start of the registration deployment 62 of 141 hosts watched the store by themselves, since a host that became one of its zone's watchers kept a watch of up to 25 s in flight and confirmed nothing meanwhile. Such a host now renews its watch of the servers.

The test fails on the code before, which does not notice the change.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -148,6 +148,8 @@
     m_liveHosts = live.size();
     // Before the operator writes the first configuration, the server list is all there is.
     m_role.update(live, self, {serversKnown(), ownWatchWorks()}, now);
+    if (m_role.takeWatchesOutdated())
+        checkWatch(m_servers, now);
     if (m_role.watching() == m_wasWatching)
         return;
     m_wasWatching = m_role.watching();
--- a/packages/policy/mirror/watch_role.cpp
+++ b/packages/policy/mirror/watch_role.cpp
@@ -25,9 +25,12 @@
         return core::rendezvousWeight(a.name, "store") > core::rendezvousWeight(b.name, "store");
     });
     hosts.resize(std::min(hosts.size(), m_timings.watchersPerZone));
+    const bool wasFollowed = m_followed;
     m_followed = shared && std::any_of(hosts.begin(), hosts.end(), [&](const Member &it) {
                      return it.name == self.name;
                  });
+    if (m_followed && !wasFollowed && m_watching)
+        m_watchesOutdated = true;
     m_watchers.clear();
     if (shared && !m_followed) {
         for (const auto &it : hosts)
--- a/packages/policy/mirror/watch_role.h
+++ b/packages/policy/mirror/watch_role.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace goldcrestline::policy::mirror {
@@ -58,6 +59,9 @@
     bool watching() const { return m_watching; }
     // Returns whether this host is one of the zone's watchers, which others follow.
     bool followed() const { return m_followed; }
+    // Returns whether this host was watching when it became one that others follow; once each time.
+    // Its watches in progress may last longer than followers wait for a confirmation.
+    bool takeWatchesOutdated() { return std::exchange(m_watchesOutdated, false); }
     // Returns the peer addresses of the hosts to follow; empty if there are none.
     const std::vector<std::string> &watchers() const { return m_watchers; }
 
@@ -71,6 +75,7 @@
     core::Duration m_startupDelay{0};
     bool m_watching = false;
     bool m_followed = false;
+    bool m_watchesOutdated = false;
     std::vector<std::string> m_watchers;
     core::TimePoint m_startedAt{};
     core::TimePoint m_followingSince{};
--- a/tests/unit/watch_role_test.cpp
+++ b/tests/unit/watch_role_test.cpp
@@ -158,3 +158,19 @@
         CHECK(role.watching() == works);
     }
 }
+
+// While hosts start together, the hosts that others follow change. A new one whose watch had a long
+// wait confirmed nothing for up to 25 s, so that all its followers read the store themselves.
+TEST_CASE("a watching host that others begin to follow renews its watches")
+{
+    const auto hosts = makeHosts(10);
+    for (const auto &it : hosts) {
+        WatchRole role({});
+        role.update({it}, it, copies, start);
+        REQUIRE(role.watching());
+        CHECK_FALSE(role.takeWatchesOutdated());
+        role.update(hosts, it, copies, start + 300ms);
+        CHECK(role.takeWatchesOutdated() == role.followed());
+        CHECK_FALSE(role.takeWatchesOutdated());
+    }
+}
