Keep the repeated and newest crashes in a full quarantine record

A record held the first 16 crashes of a request and dropped all later ones. A fan-out whose first arrival crashed 20 servers filled it with crashes that were not repeated, so that the repeated ones, which block a request, were never recorded. The limit of 1000 requests had the same fault: requests with several crashes displaced each new one. The 12 notes of a message were the latest ones, among which the repeated ones need not be.

Each crash now has a number above all numbers known where it was recorded. A full record keeps the repeated crashes and those with the highest numbers. Eviction depends on the notes only, so that hosts which exchanged all notes have the same digest. Refuted notes have a limit of their own, below which a note reported by a host that missed the refutation does not count again.

The crash number is a new field of CrashNote, which older hosts ignore.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -91,6 +91,7 @@
     to.setRepeated(from.repeated);
     to.setRefuted(from.refuted);
     to.setAgeMs(from.age.count());
+    to.setNumber(from.number);
 }
 
 policy::quarantine::CrashNote readCrash(wire::CrashNote::Reader from)
@@ -99,7 +100,8 @@
             {asString(from.getServerId()), from.getStartedAt()},
             from.getRepeated(),
             from.getRefuted(),
-            core::Millis(std::max<std::int64_t>(0, from.getAgeMs()))};
+            core::Millis(std::max<std::int64_t>(0, from.getAgeMs())),
+            from.getNumber()};
 }
 
 void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to)
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -35,6 +35,8 @@
   repeated @3 :Bool;
   refuted @4 :Bool;
   ageMs @5 :Int64;
+  # Position in the order of crashes; 0 from hosts of earlier versions.
+  number @6 :UInt64;
 }
 
 struct Gossip {
--- a/packages/daemon/forward/quarantine_sync.cpp
+++ b/packages/daemon/forward/quarantine_sync.cpp
@@ -32,7 +32,8 @@
             {"started_at", note.server.startedAt},
             {"repeated", note.repeated},
             {"refuted", note.refuted},
-            {"age_ms", note.age.count()}};
+            {"age_ms", note.age.count()},
+            {"number", note.number}};
 }
 
 CrashNote decode(const json &from)
@@ -41,7 +42,8 @@
             {from.at("server").get<std::string>(), from.at("started_at").get<core::WallMillis>()},
             from.at("repeated").get<bool>(),
             from.at("refuted").get<bool>(),
-            core::Millis(std::max<std::int64_t>(0, from.at("age_ms").get<std::int64_t>()))};
+            core::Millis(std::max<std::int64_t>(0, from.at("age_ms").get<std::int64_t>())),
+            from.value("number", std::uint64_t{0})};
 }
 
 } // namespace
--- a/packages/policy/quarantine/request_quarantine.cpp
+++ b/packages/policy/quarantine/request_quarantine.cpp
@@ -94,47 +94,75 @@
                                         const Crashes::value_type &crash)
 {
     return core::stableHash(
-        request + ' ' + crash.first.id + ' ' + std::to_string(crash.first.startedAt)
-        + (crash.second.repeated ? " repeated" : "") + (crash.second.refuted ? " refuted" : ""));
+        request + ' ' + crash.first.id + ' ' + std::to_string(crash.first.startedAt) + ' '
+        + std::to_string(crash.second.number) + (crash.second.repeated ? " repeated" : "")
+        + (crash.second.refuted ? " refuted" : ""));
 }
 
 bool RequestQuarantine::merge(const CrashNote &note, TimePoint now)
 {
     auto &entry = m_requests[note.request];
-    auto &crashes = entry.crashes;
     const auto at = now - note.age;
     const bool refuted = note.refuted || at <= entry.completedAt;
-    const auto known = crashes.find(note.server);
-    if (known == crashes.end()) {
-        if (crashes.size() >= m_parameters.maxCrashes)
+    const Crash crash{note.number, note.repeated && !refuted, refuted, at, now};
+    m_lastNumber = std::max(m_lastNumber, note.number);
+    const auto [known, added] = entry.crashes.try_emplace(note.server, crash);
+    if (!added) {
+        if (crash.value() <= known->second.value())
             return false;
-        const auto added = crashes.emplace(note.server, Crash{note.repeated, refuted, at, now});
-        m_digest ^= hashOf(note.request, *added.first);
-        m_changedAt = now;
-        return true;
+        m_digest ^= hashOf(note.request, *known);
+        known->second = {crash.number, crash.repeated, crash.refuted, known->second.at, now};
     }
-    auto &crash = known->second;
-    if ((crash.repeated || !note.repeated) && (crash.refuted || !refuted))
-        return false;
-    m_digest ^= hashOf(note.request, *known);
-    crash.repeated = crash.repeated || note.repeated;
-    crash.refuted = crash.refuted || refuted;
     m_digest ^= hashOf(note.request, *known);
-    crash.changedAt = now;
     m_changedAt = now;
     return true;
 }
 
+void RequestQuarantine::limitCrashes(const std::string &request, Crashes &crashes)
+{
+    const auto erase = [&](Crashes::iterator it) {
+        m_digest ^= hashOf(request, *it);
+        return crashes.erase(it);
+    };
+    // The lowest crashes of the kind; map iteration breaks ties by server.
+    const auto lowest = [&](bool refuted) {
+        auto out = crashes.end();
+        for (auto it = crashes.begin(); it != crashes.end(); ++it) {
+            if (it->second.refuted == refuted
+                && (out == crashes.end() || it->second.value() < out->second.value()))
+                out = it;
+        }
+        return out;
+    };
+    auto refuted = crashes.size() - count(crashes);
+    for (; refuted > m_parameters.maxCrashes; --refuted)
+        erase(lowest(true));
+    // A refuted crash that was forgotten here does not count again when another host still reports
+    // it.
+    if (refuted == m_parameters.maxCrashes) {
+        const auto refutedUpTo = lowest(true)->second.number;
+        for (auto it = crashes.begin(); it != crashes.end();) {
+            const bool outdated = !it->second.refuted && it->second.number <= refutedUpTo;
+            it = outdated ? erase(it) : std::next(it);
+        }
+    }
+    for (auto n = crashes.size() - refuted; n > m_parameters.maxCrashes; --n)
+        erase(lowest(false));
+}
+
 bool RequestQuarantine::onCrash(const std::string &request, const ServerProcess &server,
                                 TimePoint sentAt, TimePoint now)
 {
-    const auto &crashes = m_requests[request].crashes;
+    auto &crashes = m_requests[request].crashes;
     const bool repeated = std::any_of(crashes.begin(), crashes.end(), [&](const auto &it) {
         return !it.second.refuted && it.second.at + m_parameters.repeatedAfter <= sentAt;
     });
-    const bool added = merge({request, server, repeated, false, core::Millis(0)}, now);
-    limitSize(now);
-    return added;
+    const auto known = crashes.find(server);
+    const auto number = known == crashes.end() ? m_lastNumber + 1 : known->second.number;
+    const bool changed = merge({request, server, repeated, false, core::Millis(0), number}, now);
+    limitCrashes(request, crashes);
+    limitRequests();
+    return changed;
 }
 
 bool RequestQuarantine::onCompleted(const std::string &request, TimePoint now)
@@ -149,24 +177,34 @@
             continue;
         m_digest ^= hashOf(request, crash);
         crash.second.refuted = true;
+        crash.second.repeated = false;
         m_digest ^= hashOf(request, crash);
         crash.second.changedAt = now;
         m_changedAt = now;
         changed = true;
     }
+    limitCrashes(request, it->second.crashes);
     return changed;
 }
 
 std::vector<std::string> RequestQuarantine::apply(const std::vector<CrashNote> &notes,
                                                   TimePoint now)
 {
+    const auto digest = m_digest;
+    const auto changedAt = m_changedAt;
     std::map<std::string, Handling> before;
     for (const auto &it : notes)
         before.try_emplace(it.request, handling(it.request, now));
     for (const auto &it : notes)
         merge(it, now);
+    // Only once all notes are merged, so that their order does not matter.
+    for (const auto &it : before)
+        limitCrashes(it.first, m_requests.at(it.first).crashes);
     expire(now);
-    limitSize(now);
+    limitRequests();
+    // Notes that were forgotten at once are no news.
+    if (m_digest == digest)
+        m_changedAt = changedAt;
     std::vector<std::string> changed;
     for (const auto &it : before) {
         if (handling(it.first, now) != it.second)
@@ -178,8 +216,12 @@
 CrashNote RequestQuarantine::makeNote(const std::string &request, const Crashes::value_type &crash,
                                       TimePoint now)
 {
-    return {request, crash.first, crash.second.repeated, crash.second.refuted,
-            std::chrono::duration_cast<core::Millis>(now - crash.second.at)};
+    return {request,
+            crash.first,
+            crash.second.repeated,
+            crash.second.refuted,
+            std::chrono::duration_cast<core::Millis>(now - crash.second.at),
+            crash.second.number};
 }
 
 std::vector<CrashNote> RequestQuarantine::news(TimePoint now, std::size_t limit) const
@@ -193,8 +235,10 @@
                 recent.emplace_back(it.second.changedAt, makeNote(request.first, it, now));
         }
     }
-    std::stable_sort(recent.begin(), recent.end(),
-                     [](const auto &a, const auto &b) { return a.first > b.first; });
+    // A repeated crash is what blocks a request, and may be one of many that happen together.
+    std::stable_sort(recent.begin(), recent.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.second.repeated, a.first) > std::pair(b.second.repeated, b.first);
+    });
     std::vector<CrashNote> out;
     for (auto &it : recent) {
         if (out.size() == limit)
@@ -238,16 +282,33 @@
     }
 }
 
-void RequestQuarantine::limitSize(TimePoint now)
+void RequestQuarantine::limitRequests()
 {
+    if (m_requests.size() <= m_parameters.maxRequests)
+        return;
+    // By whether a crash counts, and by the number of the newest one; the least useful ones last.
+    using Rank = std::tuple<bool, std::uint64_t, std::string>;
+    std::vector<Rank> blocked;
+    std::vector<Rank> others;
+    for (const auto &it : m_requests) {
+        std::uint64_t newest = 0;
+        for (const auto &crash : it.second.crashes)
+            newest = std::max(newest, crash.second.number);
+        const bool hasBlock = blockOf(it.second.crashes).second > core::Duration{0};
+        (hasBlock ? blocked : others).emplace_back(count(it.second.crashes) > 0, newest, it.first);
+    }
+    std::sort(blocked.rbegin(), blocked.rend());
+    std::sort(others.rbegin(), others.rend());
+    // Blocked requests keep their place, but leave some for new ones, which could not be blocked
+    // otherwise.
+    const auto maxBlocked =
+        m_parameters.maxBlockedShare * static_cast<double>(m_parameters.maxRequests);
     while (m_requests.size() > m_parameters.maxRequests) {
-        // The least cautiously handled request, and of these the one that expires first.
-        const auto rank = [&](const auto &it) {
-            return std::pair(handling(it.first, it.second.crashes, now),
-                             expiresAt(it.second.crashes));
-        };
-        erase(std::min_element(m_requests.begin(), m_requests.end(),
-                               [&](const auto &a, const auto &b) { return rank(a) < rank(b); }));
+        const bool evictBlocked =
+            others.empty() || static_cast<double>(blocked.size()) > maxBlocked;
+        auto &from = evictBlocked ? blocked : others;
+        erase(m_requests.find(std::get<std::string>(from.back())));
+        from.pop_back();
     }
 }
 
--- a/packages/policy/quarantine/request_quarantine.h
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -39,6 +39,9 @@
     // A server has completed the request since, so that this crash had another cause.
     bool refuted = false;
     core::Millis age{0};
+    // Position in the order of crashes: above all numbers that the host knew when it recorded the
+    // crash. 0 from hosts of earlier versions.
+    std::uint64_t number = 0;
 };
 
 // How a request may be sent to servers, in ascending order of caution.
@@ -67,14 +70,19 @@
     core::Duration maxBlock = std::chrono::hours(24);
     // Time for which a new or changed note is passed on to other hosts.
     core::Duration newsPeriod = std::chrono::seconds(10);
-    // Requests that are remembered. Those that are not blocked are forgotten first.
+    // Requests that are remembered. Those without a block are forgotten first, the oldest before
+    // the others, unless blocked ones take more than their share.
     std::size_t maxRequests = 1000;
-    // Crashes that are remembered of one request.
+    double maxBlockedShare = 0.75;
+    // Crashes that are remembered of one request, and as many refuted ones. The repeated and the
+    // newest ones are kept, so that a full record does not hide later crashes.
     std::size_t maxCrashes = 16;
 };
 
 // The requests that are known to have been running at servers that ended. The notes of all hosts
-// merge in any order, and the same crash counts once. Not thread-safe.
+// merge in any order, and the same crash counts once. What a full record forgets depends on its
+// notes only, not on clocks or on the order of arrival, so that hosts which have told each other
+// everything are equal. Not thread-safe.
 class RequestQuarantine
 {
 public:
@@ -110,7 +118,8 @@
     // Merges the notes of another host. Returns the requests whose handling changed.
     std::vector<std::string> apply(const std::vector<CrashNote> &notes, core::TimePoint now);
 
-    // Returns the notes that are new or changed lately, the latest first, at most `limit`.
+    // Returns the notes that are new or changed lately, repeated crashes first and then the latest,
+    // at most `limit`.
     std::vector<CrashNote> news(core::TimePoint now, std::size_t limit) const;
 
     // Returns all notes.
@@ -131,10 +140,15 @@
 private:
     struct Crash
     {
+        std::uint64_t number = 0;
+        // False for a refuted crash.
         bool repeated = false;
         bool refuted = false;
         core::TimePoint at{};
         core::TimePoint changedAt{};
+
+        // Of two notes of the same crash, the one with the higher value is kept.
+        std::tuple<bool, bool, std::uint64_t> value() const { return {refuted, repeated, number}; }
     };
     using Crashes = std::map<ServerProcess, Crash>;
     struct Entry
@@ -154,7 +168,10 @@
     Handling handling(const std::string &request, const Crashes &crashes,
                       core::TimePoint now) const;
     core::TimePoint expiresAt(const Crashes &crashes) const;
-    void limitSize(core::TimePoint now);
+    // Removes the least useful notes of a request beyond the limits.
+    void limitCrashes(const std::string &request, Crashes &crashes);
+    // Removes the least useful requests beyond the limit.
+    void limitRequests();
     void erase(std::map<std::string, Entry>::iterator request);
     static std::uint64_t hashOf(const std::string &request, const Crashes::value_type &crash);
     static CrashNote makeNote(const std::string &request, const Crashes::value_type &crash,
@@ -164,6 +181,8 @@
     std::function<std::size_t(const std::string &)> m_trialRank;
     std::map<std::string, Entry> m_requests;
     core::TimePoint m_changedAt{};
+    // Highest number of a crash that was recorded or reported.
+    std::uint64_t m_lastNumber = 0;
     // Combined hashes of all notes.
     std::uint64_t m_digest = 0;
 };
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -35,6 +35,7 @@
     gossip.storeEra = 4;
     gossip.leavingServers = {{"server", 5}};
     gossip.requestsPerSecond = 12.5F;
+    gossip.crashes = {{"digest", {"server", 5}, true, false, core::Millis(70), 1ULL << 40}};
     const auto decoded = decode(encode(11, ports::PeerRequest(gossip)));
     REQUIRE(decoded);
     CHECK(decoded->id == 11);
@@ -48,6 +49,8 @@
     CHECK(copy.storeEra == 4);
     CHECK(copy.requestsPerSecond == 12.5F);
     CHECK(copy.leavingServers.at(0).serverId == "server");
+    CHECK(copy.crashes.at(0).repeated);
+    CHECK(copy.crashes.at(0).number == 1ULL << 40);
     ports::CopyResponse response;
     response.version = {2, 40};
     response.whole = true;
--- a/tests/unit/request_quarantine_test.cpp
+++ b/tests/unit/request_quarantine_test.cpp
@@ -195,3 +195,164 @@
         RC_ASSERT(inOrder.digest() == reversed.digest());
     });
 }
+
+namespace {
+
+// A request whose first arrival crashed servers 0 to `crashes` - 1 together.
+RequestQuarantine makeFull(int crashes)
+{
+    RequestQuarantine out;
+    for (int i = 0; i < crashes; ++i)
+        out.onCrash(bad, process(i), start, start + i * 1ms);
+    return out;
+}
+
+} // namespace
+
+// Guards against a full record that drops the crashes from which the request would be blocked.
+TEST_CASE("a repeated crash counts although the record of the request is full")
+{
+    auto crashed = makeFull(40);
+    REQUIRE(crashed.handling(bad, start + 1s) == Handling::OneCall);
+    SECTION("seen by this host")
+    {
+        crashed.onCrash(bad, process(40), start + 1s, start + 1100ms);
+    }
+    SECTION("reported by another host")
+    {
+        auto other = makeFull(2);
+        other.onCrash(bad, process(40), start + 1s, start + 1100ms);
+        CHECK(crashed.apply(other.news(start + 1100ms, 1), start + 1100ms)
+              == std::vector<std::string>{bad});
+    }
+    CHECK(crashed.handling(bad, start + 1100ms) == Handling::Blocked);
+    // The record stays full, and later tries extend the block.
+    for (int i = 0; i < 40; ++i)
+        crashed.onCrash(bad, process(50 + i), start + 1s, start + 2s + i * 1ms);
+    const auto until = crashed.blockedUntil(bad);
+    crashed.onCrash(bad, process(41), until, until);
+    CHECK(crashed.blockedUntil(bad) == until + 200s);
+    CHECK(crashed.crashes(bad) == QuarantineParameters{}.maxCrashes);
+}
+
+TEST_CASE("a request is blocked after another one that filled the records")
+{
+    QuarantineParameters parameters;
+    parameters.maxRequests = 10;
+    RequestQuarantine crashed(parameters);
+    // Each one crashed several servers, so that it is handled with more caution than a new one.
+    for (int n = 0; n < 10; ++n) {
+        for (int i = 0; i < 40; ++i)
+            crashed.onCrash("first" + std::to_string(n), process(i), start, start);
+    }
+    SECTION("of which none is blocked") { }
+    SECTION("of which all are blocked")
+    {
+        for (int n = 0; n < 10; ++n)
+            crashed.onCrash("first" + std::to_string(n), process(40), start + 1s, start + 1s);
+        REQUIRE(crashed.blockedCount(start + 1s) == 10);
+    }
+    for (int i = 0; i < 3; ++i)
+        crashed.onCrash(bad, process(50 + i), start + 2s + i * 1s, start + 2s + i * 1s);
+    CHECK(crashed.handling(bad, start + 4s) == Handling::Blocked);
+    CHECK(crashed.requestCount() == 10);
+}
+
+// Guards against refuted notes that fill a record, and against refuted ones that come back.
+TEST_CASE("crashes count again after a full record was refuted")
+{
+    auto crashed = makeFull(40);
+    auto late = makeFull(40);
+    crashed.onCrash(bad, process(40), start + 1s, start + 1s);
+    crashed.onCompleted(bad, start + 2s);
+    for (int i = 0; i < 3; ++i) {
+        const auto at = start + 3s + i * 1s;
+        crashed.onCrash(bad, process(50 + i), at, at);
+        late.apply(crashed.all(at), at);
+        crashed.apply(late.all(at), at);
+        CHECK(crashed.crashes(bad) == static_cast<std::size_t>(i + 1));
+        CHECK(late.crashes(bad) == crashed.crashes(bad));
+        CHECK(late.digest() == crashed.digest());
+    }
+    CHECK(late.handling(bad, start + 5s) == Handling::Blocked);
+}
+
+TEST_CASE("a repeated crash is passed on before the others")
+{
+    auto crashed = makeFull(2);
+    crashed.onCrash(bad, process(2), start + 1s, start + 1s);
+    for (int i = 0; i < 100; ++i)
+        crashed.onCrash("r" + std::to_string(i), process(100 + i), start + 2s, start + 2s);
+    const auto news = crashed.news(start + 2s, 12);
+    REQUIRE(news.size() == 12);
+    CHECK(news.front().server.id == process(2).id);
+    CHECK(news.front().repeated);
+}
+
+// Guards against hosts whose notes stay different, so that they fetch from each other for ever.
+TEST_CASE("hosts that told each other all notes have the same digest, also with full records")
+{
+    rc::prop("hosts that told each other all notes have the same digest", [] {
+        const auto below = [](int n) { return *rc::gen::inRange(0, n); };
+        QuarantineParameters parameters;
+        parameters.maxCrashes = 2;
+        parameters.maxRequests = 3;
+        std::vector<RequestQuarantine> hosts(3, RequestQuarantine(parameters));
+        auto now = start;
+        const auto exchange = [&](RequestQuarantine &a, RequestQuarantine &b) {
+            a.apply(b.all(now), now);
+            b.apply(a.all(now), now);
+        };
+        for (int i = 0; i < 60; ++i) {
+            now += std::chrono::milliseconds(below(300));
+            auto &host = hosts[static_cast<std::size_t>(below(3))];
+            const auto request = "r" + std::to_string(below(5));
+            switch (below(8)) {
+            case 0:
+                host.onCompleted(request, now);
+                break;
+            case 1:
+                exchange(hosts[0], hosts[static_cast<std::size_t>(1 + below(2))]);
+                break;
+            case 2:
+                hosts[0].apply(host.news(now, 2), now);
+                break;
+            default:
+                host.onCrash(request, process(below(9)),
+                             now - std::chrono::milliseconds(below(900)), now);
+            }
+        }
+        for (int round = 0; round < 2; ++round) {
+            exchange(hosts[0], hosts[1]);
+            exchange(hosts[1], hosts[2]);
+            exchange(hosts[2], hosts[0]);
+        }
+        RC_ASSERT(hosts[0].digest() == hosts[1].digest());
+        RC_ASSERT(hosts[0].digest() == hosts[2].digest());
+        // What is told again changes nothing.
+        const auto changedAt = hosts[0].changedAt();
+        now += 1s;
+        RC_ASSERT(hosts[0].apply(hosts[1].all(now), now).empty());
+        RC_ASSERT(hosts[0].changedAt() == changedAt);
+    });
+}
+
+TEST_CASE("the order in which notes arrive does not decide which ones a full record keeps")
+{
+    rc::prop("the order in which notes arrive does not decide which ones a full record keeps", [] {
+        QuarantineParameters parameters;
+        parameters.maxCrashes = 3;
+        const auto below = [](int n) { return *rc::gen::inRange(0, n); };
+        RequestQuarantine source;
+        for (int i = 0; i < 30; ++i)
+            source.onCrash(bad, process(below(20)), start + below(2000) * 1ms, start + i * 100ms);
+        const auto now = start + 3s;
+        auto notes = source.all(now);
+        RequestQuarantine together(parameters);
+        together.apply(notes, now);
+        RequestQuarantine reversed(parameters);
+        for (auto it = notes.rbegin(); it != notes.rend(); ++it)
+            reversed.apply({*it}, now);
+        RC_ASSERT(together.digest() == reversed.digest());
+    });
+}
