Send one second attempt of a fan-out before the others while no first attempt was answered

Every part of a fan-out whose connection broke was sent to another server as soon as the check of its server ended, also without a result. A request that crashes servers thus ended two servers of each shard at its first arrival.

Parts whose attempt broke now wait until an attempt of the call was answered, or until none is in flight; then one of them is sent alone, and none after it if it breaks too. A server that is found alive, or that sent a malformed response, did not crash, so that its part does not wait. Hedges of other parts are sent as before.

A call that may send one attempt used it up while all servers were busy, and failed. It is now used up by the attempt that is sent.

The new cases of forward_call_test fail on the code before.

--- a/packages/daemon/forward/crash_monitor.cpp
+++ b/packages/daemon/forward/crash_monitor.cpp
@@ -92,7 +92,7 @@
         return onEnded(process, now);
     investigation.recheckAt =
         state == ServerState::Unknown ? now + recheckInterval : TimePoint::max();
-    resumeAll(investigation.interruptions, now);
+    resumeAll(investigation.interruptions, state, now);
 }
 
 void CrashMonitor::onEnded(const ServerProcess &process, TimePoint now)
@@ -100,7 +100,7 @@
     auto ended = std::move(m_investigations.extract(process).mapped());
     for (const auto &it : ended.interruptions)
         recordCrash(it, process, now);
-    resumeAll(ended.interruptions, now);
+    resumeAll(ended.interruptions, ServerState::Ended, now);
 }
 
 void CrashMonitor::recordCrash(const Interruption &interruption, const ServerProcess &process,
@@ -133,16 +133,17 @@
     }
 }
 
-void CrashMonitor::resumeAll(std::vector<Interruption> &interruptions, TimePoint now)
+void CrashMonitor::resumeAll(std::vector<Interruption> &interruptions, ServerState state,
+                             TimePoint now)
 {
-    std::vector<std::function<void(TimePoint)>> waiting;
+    std::vector<std::function<void(ServerState, TimePoint)>> waiting;
     for (auto &it : interruptions) {
         if (it.resume)
             waiting.push_back(std::exchange(it.resume, nullptr));
     }
     // Last, because a resumed call may send a request whose failure changes the investigations.
     for (const auto &it : waiting)
-        it(now);
+        it(state, now);
 }
 
 void CrashMonitor::onNotReached(const policy::forward::Backend &backend, TimePoint now)
@@ -163,7 +164,7 @@
 
 void CrashMonitor::tick(TimePoint now)
 {
-    std::vector<std::function<void(TimePoint)>> waiting;
+    std::vector<std::function<void(ServerState, TimePoint)>> waiting;
     for (auto &investigation : m_investigations) {
         for (auto &it : investigation.second.interruptions) {
             if (it.resume && now >= it.at + maxHoldTime)
@@ -178,7 +179,7 @@
             startCheck(it.second, now);
     }
     for (const auto &it : waiting)
-        it(now);
+        it(ServerState::Unknown, now);
 }
 
 TimePoint CrashMonitor::nextTickAt() const
--- a/packages/daemon/forward/crash_monitor.h
+++ b/packages/daemon/forward/crash_monitor.h
@@ -22,8 +22,9 @@
     // The caller's id of this arrival of the request.
     std::string requestId;
     core::TimePoint sentAt{};
-    // Called once when the server's state is known, or soon if it takes longer. May be empty.
-    std::function<void(core::TimePoint now)> resume;
+    // Called once when the server's state is known, or soon with Unknown if it takes longer. May be
+    // empty.
+    std::function<void(policy::quarantine::ServerState state, core::TimePoint now)> resume;
     core::TimePoint at{};
 };
 
@@ -77,7 +78,8 @@
     void recordCrash(const Interruption &interruption,
                      const policy::quarantine::ServerProcess &process, core::TimePoint now);
     static void logState(const Investigation &investigation, policy::quarantine::ServerState state);
-    static void resumeAll(std::vector<Interruption> &interruptions, core::TimePoint now);
+    static void resumeAll(std::vector<Interruption> &interruptions,
+                          policy::quarantine::ServerState state, core::TimePoint now);
 
     policy::forward::BackendTable &m_backends;
     adapters::loop::ExchangeClient &m_client;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -23,6 +23,7 @@
 using policy::forward::Route;
 using policy::forward::SendPermission;
 using policy::quarantine::Handling;
+using policy::quarantine::ServerState;
 
 namespace {
 
@@ -270,7 +271,7 @@
     if (running == nullptr)
         return;
     if (!reply.usable) {
-        running->call.onError(id, AttemptError::Broken, now, actions);
+        running->call.onError(id, AttemptError::Unusable, now, actions);
         return apply(attempt.call, actions, now);
     }
     storeResponse(*running, id, reply, std::move(result));
@@ -293,8 +294,9 @@
                                   nullptr};
         if (running != nullptr) {
             ++running->attemptsHeld;
-            interruption.resume = [this, id, callId = attempt.call](TimePoint resumedAt) {
-                resumeBroken(id, callId, resumedAt);
+            interruption.resume = [this, id, callId = attempt.call](ServerState state,
+                                                                    TimePoint resumedAt) {
+                resumeBroken(id, callId, state, resumedAt);
             };
         }
         return m_crashMonitor.onInterrupted(attempt.backend, std::move(interruption), now);
@@ -302,19 +304,23 @@
     if (running == nullptr)
         return;
     CallActions actions;
-    running->call.onError(id, reached ? AttemptError::Broken : AttemptError::NotReached, now,
-                          actions);
+    // With the connection intact, the server sent a malformed response.
+    const auto error = result.connectionEnded ? AttemptError::Broken : AttemptError::Unusable;
+    running->call.onError(id, reached ? error : AttemptError::NotReached, now, actions);
     apply(attempt.call, actions, now);
 }
 
-void ForwardService::resumeBroken(policy::forward::AttemptId id, std::uint64_t call, TimePoint now)
+void ForwardService::resumeBroken(policy::forward::AttemptId id, std::uint64_t call,
+                                  ServerState state, TimePoint now)
 {
     const auto it = m_calls.find(call);
     if (it == m_calls.end())
         return;
     --it->second->attemptsHeld;
     CallActions actions;
-    it->second->call.onError(id, AttemptError::Broken, now, actions);
+    const bool alive = state == ServerState::Alive;
+    it->second->call.onError(id, alive ? AttemptError::Unusable : AttemptError::Broken, now,
+                             actions);
     apply(call, actions, now);
 }
 
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -183,7 +183,8 @@
     void onBroken(policy::forward::AttemptId id, const Attempt &attempt,
                   const ports::ExchangeResult &result, core::TimePoint now);
     // Tells the call that its attempt broke, after the check of the server.
-    void resumeBroken(policy::forward::AttemptId id, std::uint64_t call, core::TimePoint now);
+    void resumeBroken(policy::forward::AttemptId id, std::uint64_t call,
+                      policy::quarantine::ServerState state, core::TimePoint now);
     // Applies what a response proves about a request that may crash servers.
     void noteCompletion(const Attempt &attempt, const platform::ServerReply &reply,
                         core::TimePoint now);
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -117,39 +117,46 @@
         && estimate.responseMs - estimate.processingMs > maxQueueingShare * remainingMs;
 }
 
-bool Call::checkPermission(std::size_t part, TimePoint now)
+bool Call::mayHaveCrashed(const Part &part) const
+{
+    return m_route.fansOut() && part.broke && !m_answered;
+}
+
+std::optional<SendPermission> Call::checkPermission(std::size_t part, TimePoint now)
 {
     auto &state = m_parts[part];
     state.heldBack = false;
-    switch (m_hooks.permission(m_rank.sequence, now)) {
+    auto permission = m_hooks.permission(m_rank.sequence, now);
+    if (mayHaveCrashed(state)
+        && (permission == SendPermission::Any || permission == SendPermission::OneAtATime))
+        permission = SendPermission::Once;
+    switch (permission) {
     case SendPermission::Any:
-        return true;
+        return permission;
     case SendPermission::OneAtATime:
         if (m_attempts.empty())
-            return true;
+            return permission;
         break;
     case SendPermission::Once:
         if (!m_attempts.empty())
             break;
-        if (!m_sentOnce) {
-            m_sentOnce = true;
-            return true;
-        }
+        if (!m_sentOnce)
+            return permission;
         state.lost = state.inFlight == 0;
-        return false;
+        return std::nullopt;
     case SendPermission::Never:
         m_blocked = true;
         state.lost = state.inFlight == 0;
-        return false;
+        return std::nullopt;
     case SendPermission::Withdrawn:
         state.lost = state.inFlight == 0;
-        return false;
+        return std::nullopt;
     case SendPermission::Later:
         break;
     }
     state.heldBack = true;
     waitForRetry(state, now);
-    return false;
+    return std::nullopt;
 }
 
 void Call::waitForRetry(Part &part, TimePoint now)
@@ -163,12 +170,15 @@
     auto &state = m_parts[part];
     const auto &service = m_services[part];
     state.waiting = false;
-    if (!checkPermission(part, now))
+    const auto permission = checkPermission(part, now);
+    if (!permission)
         return;
     if (auto backend = m_hooks.pick(service, rank(), state.tried, now)) {
         // The first attempt needs no budget.
-        if (state.tried.empty() || m_hooks.tryWithdraw(service, now))
+        if (state.tried.empty() || m_hooks.tryWithdraw(service, now)) {
+            m_sentOnce |= permission == SendPermission::Once;
             return sendTo(part, backend, now, out);
+        }
     } else if (!m_hooks.hasUsable(service, state.tried, now)) {
         state.lost = state.inFlight == 0;
         return;
@@ -274,6 +284,7 @@
     auto &part = m_parts[removed->part];
     if (kind == ReplyKind::Success || kind == ReplyKind::Failure)
         m_completedAnywhere = true;
+    m_answered |= m_completedAnywhere || kind == ReplyKind::NonRetryable;
     if (part.done)
         return;
     switch (kind) {
@@ -290,6 +301,7 @@
         if (!m_route.fansOut())
             return finish(CallOutcome::PassedFailure, out);
         part.lost = part.inFlight == 0;
+        sendHeldBack(now, out);
         return finishIfDecided(now, out);
     case ReplyKind::NotExecuted:
     case ReplyKind::Misdirected:
@@ -302,6 +314,8 @@
         if (!part.lost)
             trySend(removed->part, now, out);
     }
+    if (kind == ReplyKind::Failure)
+        sendHeldBack(now, out);
     finishIfDecided(now, out);
 }
 
@@ -315,6 +329,7 @@
         --part.mayHaveExecuted;
         m_sentOnce = false;
     }
+    part.broke |= error == AttemptError::Broken;
     if (!part.done && part.inFlight == 0) {
         part.lost = !mayRetry(part);
         if (!part.lost)
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -35,8 +35,10 @@
 enum class AttemptError {
     // No byte of the request was sent.
     NotReached,
-    // The request may have been executed.
+    // The request may have been executed, and the server may have crashed.
     Broken,
+    // The request may have been executed by a server that did not crash.
+    Unusable,
 };
 
 // Outcome of a call for its caller.
@@ -226,6 +228,8 @@
         int inFlight = 0;
         // Attempts that executed the request, may have done so or are in flight.
         int mayHaveExecuted = 0;
+        // An attempt broke, so that the request may have crashed the server.
+        bool broke = false;
         std::vector<BackendPtr> tried;
         core::TimePoint hedgeAt = core::TimePoint::max();
         // Estimated response time in ms if it exceeds the objective, else 0.
@@ -248,8 +252,13 @@
     // Returns whether a request that is estimated to miss the objective should be refused.
     bool shouldRefuse(const LatencyEstimate &estimate, core::TimePoint now) const;
     void trySend(std::size_t part, core::TimePoint now, CallActions &out);
-    // Returns whether an attempt may be sent now. Otherwise the part waits or is lost.
-    bool checkPermission(std::size_t part, core::TimePoint now);
+    // Returns the permission with which an attempt may be sent now. Without one the part waits or
+    // is lost.
+    std::optional<SendPermission> checkPermission(std::size_t part, core::TimePoint now);
+    // Returns whether the request may have crashed the part's server, and no server answered any
+    // part of it. If it crashes all servers, a second attempt of each part would crash as many
+    // again before the first crash is known.
+    bool mayHaveCrashed(const Part &part) const;
     // Sends the parts that were held back, as far as permitted by now.
     void sendHeldBack(core::TimePoint now, CallActions &out);
     void waitForRetry(Part &part, core::TimePoint now);
@@ -283,6 +292,8 @@
     // succeeds.
     bool m_hasFailureResponse = false;
     bool m_completedAnywhere = false;
+    // A server executed the request and answered.
+    bool m_answered = false;
     // Permission to send was refused for good.
     bool m_blocked = false;
     // Permission to send once was used, and that attempt may have been executed.
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -144,6 +144,95 @@
     }
 }
 
+// Guards against a first arrival that crashes two servers of every shard.
+TEST_CASE("a fan-out whose first attempts broke sends one second attempt before the others")
+{
+    constexpr std::size_t shards = 10;
+    CallEnvironment environment;
+    for (std::size_t i = 0; i < shards; ++i)
+        environment.add("shard" + std::to_string(i), 3);
+    CallDriver driver(environment, makeFanoutRoute(shards, 0.6));
+    REQUIRE(driver.sends.size() == shards);
+    for (std::size_t i = 0; i < shards; ++i) {
+        CHECK(driver.sends.size() == shards);
+        driver.reportError(i, AttemptError::Broken, start + 2ms);
+    }
+    driver.advanceTo(start + 14ms);
+    REQUIRE(driver.sends.size() == shards + 1);
+    SECTION("and no more if it breaks")
+    {
+        driver.reportError(shards, AttemptError::Broken, start + 15ms);
+        driver.advanceTo(start + 30ms);
+        CHECK(driver.sends.size() == shards + 1);
+        REQUIRE(driver.finishes.size() == 1);
+        CHECK(driver.finishes[0].outcome == CallOutcome::Failed);
+    }
+    SECTION("and the others at once if it is answered")
+    {
+        driver.reply(shards, ReplyKind::Success, start + 15ms);
+        CHECK(driver.sends.size() == 2 * shards);
+    }
+    SECTION("and another one if it was not executed")
+    {
+        driver.reportError(shards, AttemptError::NotReached, start + 15ms);
+        driver.advanceTo(start + 25ms);
+        CHECK(driver.sends.size() == shards + 2);
+    }
+}
+
+// Guards against fan-outs that a single broken connection delays.
+TEST_CASE("a broken part of a fan-out waits only while no attempt of the call was answered")
+{
+    CallEnvironment environment;
+    for (int i = 0; i < 4; ++i)
+        environment.add("shard" + std::to_string(i), 3);
+    CallDriver driver(environment, makeFanoutRoute(4, 1));
+    SECTION("which is sent again with the first answer")
+    {
+        driver.reportError(0, AttemptError::Broken, start + 2ms);
+        driver.advanceTo(start + 13ms);
+        REQUIRE(driver.sends.size() == 4);
+        const auto kind = GENERATE(ReplyKind::Success, ReplyKind::Failure);
+        driver.reply(1, kind, start + 14ms);
+        CHECK(driver.sends.size() == (kind == ReplyKind::Success ? 5 : 6));
+    }
+    SECTION("and not if one was answered before")
+    {
+        driver.reply(1, ReplyKind::Success, start + 2ms);
+        driver.reportError(0, AttemptError::Broken, start + 3ms);
+        CHECK(driver.sends.size() == 5);
+    }
+    SECTION("and not if its server lives or was not reached")
+    {
+        driver.reportError(0, AttemptError::Unusable, start + 2ms);
+        driver.reportError(1, AttemptError::NotReached, start + 2ms);
+        CHECK(driver.sends.size() == 6);
+    }
+    SECTION("and the parts in flight are hedged meanwhile")
+    {
+        driver.reportError(0, AttemptError::Broken, start + 2ms);
+        driver.advanceTo(start + 20ms);
+        CHECK(driver.sends.size() == 7);
+        for (std::size_t i = 4; i < driver.sends.size(); ++i)
+            CHECK(driver.sends[i].part != 0);
+    }
+}
+
+// Guards against a call that uses up its only attempt while all servers are busy.
+TEST_CASE("a call that may send once waits for a free server")
+{
+    CallEnvironment environment;
+    environment.permission = SendPermission::Once;
+    environment.add("s", 2);
+    environment.atCapacity = {environment.servers["s"][0], environment.servers["s"][1]};
+    CallDriver driver(environment, makePlainRoute(Idempotency::Idempotent));
+    driver.advanceTo(start + 10ms);
+    REQUIRE(driver.finishes.empty());
+    environment.atCapacity.clear();
+    driver.step([&](CallActions &out) { driver.call.onCapacityFree(0, start + 11ms, out); });
+    CHECK(driver.sends.size() == 1);
+}
+
 TEST_CASE("a request to a service without servers is refused at once")
 {
     CallEnvironment environment;
