Prove the configuration before serving requests with a key

Watches may stay silent while keys are revoked, so a host could go on accepting a revoked key. Selected hosts read the configuration object every 1.5 s and pass the age of this proof on in replies to probes; a host without a proof younger than revoke_ms - 200 ms refuses requests with a key and leaves the directory while others have a proof. Ages are taken on the boot clock.

A request with an unknown key gets 503 instead of 401 on such a host, since the key may have been added.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -50,6 +50,7 @@
     to.setCapacity(from.capacity);
     to.setStrained(from.strained);
     to.setCutOff(from.cutOff);
+    to.setUnproven(from.unproven);
     to.setRelayAddress(from.relayAddress);
 }
 
@@ -73,6 +74,7 @@
     member.capacity = from.getCapacity();
     member.strained = from.getStrained();
     member.cutOff = from.getCutOff();
+    member.unproven = from.getUnproven();
     member.relayAddress = asString(from.getRelayAddress());
     return member;
 }
@@ -130,6 +132,7 @@
     if (from.proofAge)
         to.setProofAgeMs(static_cast<std::uint64_t>(from.proofAge->count()) + 1);
     to.setProofVersion(from.proofVersion);
+    to.setProofDigest(from.proofDigest);
     auto crashes = to.initCrashes(static_cast<unsigned>(from.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i)
         writeCrash(from.crashes[i], crashes[i]);
@@ -161,6 +164,7 @@
     if (from.getProofAgeMs() != 0)
         gossip.proofAge = core::Millis(from.getProofAgeMs() - 1);
     gossip.proofVersion = from.getProofVersion();
+    gossip.proofDigest = from.getProofDigest();
     for (const auto it : from.getCrashes())
         gossip.crashes.push_back(readCrash(it));
     return gossip;
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -20,6 +20,7 @@
   region @13 :Text;
   cutOff @14 :Bool;
   relayAddress @15 :Text;
+  unproven @16 :Bool;
 }
 
 struct LeavingNote {
@@ -65,6 +66,8 @@
   # Proof that proofVersion was the newest configuration that many ms ago, minus 1; 0 without one.
   proofAgeMs @17 :UInt64;
   proofVersion @18 :UInt64;
+  # Digest of that configuration.
+  proofDigest @19 :UInt64;
 }
 
 struct Outcome {
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -7,6 +7,7 @@
 #include "adapters/peers/loop_peer_link.h"
 #include "core/hash.h"
 #include "core/result_code.h"
+#include "daemon/forward/configuration_prover.h"
 #include "daemon/forward/fleet_quota.h"
 #include "daemon/forward/forward_service.h"
 #include "daemon/forward/host_registry.h"
@@ -116,7 +117,7 @@
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
           m_quarantineSync(m_quarantine, m_link),
           m_copy(m_storeClient, m_backends, m_link, entryLifetime(), copyHooks()),
-          m_members(makeMemberTable()),
+          m_members(makeMemberTable()), m_prover(*m_settings, m_storeClient, m_copy, proverHooks()),
           m_membership(m_members, m_settings->peers.periodMs.millis(), m_link, membershipHooks()),
           m_processorLoad(peers::availableCores(*m_settings)),
           m_registry(m_members.self(), m_settings->host.firstStart.value != 0, m_storeClient,
@@ -215,7 +216,8 @@
     {
         RequestAdmission::Hooks hooks;
         hooks.random = [this] { return uniform(); };
-        hooks.configurationProven = [] { return true; };
+        hooks.configurationProven = [this] { return m_prover.proven(core::BootClock::now()); };
+        hooks.describeProof = [this] { return m_prover.describe(core::BootClock::now()); };
         hooks.admitQuota = [](const policy::access::Workspace &, TimePoint now,
                               const RequestAdmission::QuotaHandler &decide) { decide({}, now); };
         hooks.returnQuota = [](const std::string &, TimePoint) {};
@@ -300,6 +302,12 @@
                 [this](TimePoint now) { m_registry.onStoreRestored(now); }};
     }
 
+    ConfigurationProver::Hooks proverHooks()
+    {
+        return {[this] { return m_settings->platform.address.value; }, [this] { return uniform(); },
+                [this](bool unproven) { m_members.setUnproven(unproven); }};
+    }
+
     HostRegistry::Hooks registryHooks()
     {
         return {
@@ -314,6 +322,7 @@
     {
         return {[this](ports::Gossip &gossip, TimePoint now) {
                     m_copy.fillGossip(gossip, now);
+                    m_prover.fillGossip(gossip, core::BootClock::now());
                     gossip.leavingServers = m_backends.recentLeavingNotes(now);
                     if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
                         gossip.leavingServers.resize(maxLeavingNotesPerMessage);
@@ -327,6 +336,7 @@
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
                        std::optional<TimePoint>, TimePoint now) {
                     m_copy.onGossip(gossip, from.peersAddress, now);
+                    m_prover.onGossip(gossip, core::BootClock::now());
                     noteLeavingServers(gossip, now);
                     m_quarantineSync.onGossip(gossip, from.peersAddress, now);
                     if (gossip.serverResponseAge) {
@@ -334,6 +344,9 @@
                         m_relay.onPeerNews(from.name, *gossip.serverResponseAge, now);
                     }
                     m_quota.onRequestRate(from.name, gossip.requestsPerSecond, now);
+                },
+                [this](const ports::Gossip &reply, core::BootTimePoint requestedAt) {
+                    m_prover.onReply(reply, requestedAt);
                 }};
     }
 
@@ -463,7 +476,8 @@
         gauges.version = m_copy.version();
         gauges.members = m_members.live().size();
         gauges.running = m_forward.running();
-        gauges.storeCalls = m_copy.storeCalls() + m_registry.calls();
+        gauges.proof = m_prover.status(core::BootClock::now());
+        gauges.storeCalls = m_copy.storeCalls() + m_registry.calls() + gauges.proof.reads;
         gauges.storeWatching = m_copy.watching();
         gauges.storeEra = m_copy.storeEra().newest();
         gauges.storeRestores = m_copy.storeEra().rises();
@@ -640,6 +654,7 @@
         if (!m_copy.serversKnown())
             updateRole(now);
         m_copy.tick(now);
+        m_prover.tick(now, core::BootClock::now());
         m_registry.tick(now);
         for (auto *it : {&m_callers, &m_directory, &m_readiness, &m_control})
             it->tick(now);
@@ -702,6 +717,7 @@
     QuarantineSync m_quarantineSync;
     PlatformCopy m_copy;
     policy::membership::MemberTable m_members;
+    ConfigurationProver m_prover;
     peers::Membership m_membership;
     policy::entrypoints::ProcessorLoadEstimator m_processorLoad;
     HostRegistry m_registry;
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -56,6 +56,13 @@
     appendLine(out, "store_watching", gauges.storeWatching ? 1 : 0);
     appendLine(out, "store_era", gauges.storeEra);
     appendLine(out, "store_restores_total", gauges.storeRestores);
+    if (gauges.proof.active) {
+        if (gauges.proof.age)
+            appendLine(out, "proof_age_ms", static_cast<std::uint64_t>(gauges.proof.age->count()));
+        appendLine(out, "proof_fresh", gauges.proof.fresh ? 1 : 0);
+    }
+    appendLine(out, "proof_reads_total", gauges.proof.reads);
+    appendLine(out, "proof_lapses_total", gauges.proof.lapses);
     std::uint64_t cumulative = 0;
     for (std::size_t i = 0; i < latencyBucketsMs.size(); ++i) {
         cumulative += counters.latency[i];
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/forward/configuration_prover.h"
 #include "daemon/forward/forward_counters.h"
 #include "daemon/forward/request_admission.h"
 #include "ports/peer_link.h"
@@ -42,6 +43,7 @@
     // Requests that may crash servers, and those of them that are blocked.
     std::uint64_t requestsSuspected = 0;
     std::uint64_t requestsBlocked = 0;
+    ProofStatus proof;
 };
 
 // Returns the metrics in text form, with one name and value per line. Thread-safe.
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -1,6 +1,7 @@
 #include "daemon/forward/platform_copy.h"
 
 #include "adapters/logging/log.h"
+#include "core/hash.h"
 #include "platform/names.h"
 #include "platform/records.h"
 
@@ -116,12 +117,29 @@
         return;
     m_table = std::move(table.value());
     m_configText = platform::withKeyDigests(spec).dump();
+    m_configuration = {m_table->version(), core::stableHash(m_configText)};
     m_highestVersion = std::max(m_highestVersion, m_table->version());
     log.info("configuration in force version=" + std::to_string(m_table->version())
              + " from=" + from + " routes=" + std::to_string(m_table->routes().size()));
     m_hooks.onRoutes(m_table);
 }
 
+std::optional<policy::access::ConfigurationId>
+PlatformCopy::onConfigRead(const platform::StoreObject &object)
+{
+    const auto table = platform::decodeConfig(object.spec);
+    if (!table.has_value()) {
+        log.error("configuration refused from=read: " + table.error().text());
+        return std::nullopt;
+    }
+    if (table.value()->version() > version())
+        applyConfig(object.spec, "read");
+    if (table.value()->version() < version())
+        return policy::access::ConfigurationId{table.value()->version(), 0};
+    return policy::access::ConfigurationId{
+        table.value()->version(), core::stableHash(platform::withKeyDigests(object.spec).dump())};
+}
+
 void PlatformCopy::updateRole(const std::vector<policy::membership::Member> &live,
                               const policy::membership::Member &self, TimePoint now)
 {
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -5,6 +5,7 @@
 #include "daemon/forward/copy_follower.h"
 #include "daemon/forward/server_list.h"
 #include "daemon/forward/store_sync.h"
+#include "policy/access/configuration_proof.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/route.h"
 #include "ports/peer_link.h"
@@ -48,6 +49,8 @@
     // reads the store itself.
     void setStartupDelay(core::Duration delay) { m_role.setStartupDelay(delay); }
     bool watching() const { return m_role.watching(); }
+    // Returns whether this host reads the store for others of its zone.
+    bool selected() const { return m_role.selected(); }
 
     // Fills in the versions of this host's copies.
     void fillGossip(ports::Gossip &gossip, core::TimePoint now) const;
@@ -66,6 +69,14 @@
     bool serversKnown() const { return m_loadedFromStore || m_loadedFromPeer; }
     // Returns the version of the configuration in force; 0 without one.
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
+    // Returns the configuration in force; version 0 without one.
+    const policy::access::ConfigurationId &configuration() const { return m_configuration; }
+    // Returns whether the configuration in force has workspaces.
+    bool hasWorkspaces() const { return m_table && m_table->workspaces(); }
+    // Applies the configuration of an object that was read, if it is newer than the one in force.
+    // Returns the id of that configuration, or nothing if it is rejected.
+    std::optional<policy::access::ConfigurationId>
+    onConfigRead(const platform::StoreObject &object);
     // Returns the number of calls to the store since the start.
     std::uint64_t storeCalls() const { return m_config.calls() + m_servers.calls(); }
     // Compares the era of a store response with the newest one known. If it rose, reads
@@ -118,6 +129,7 @@
     policy::forward::RouteTablePtr m_table;
     // The configuration in the platform's JSON format, for other hosts.
     std::string m_configText;
+    policy::access::ConfigurationId m_configuration;
     // Highest configuration version known in the fleet.
     std::uint64_t m_highestVersion = 0;
     // Peer address of the host that reported the highest version; empty if none is known.
--- a/packages/daemon/forward/request_admission.cpp
+++ b/packages/daemon/forward/request_admission.cpp
@@ -75,26 +75,33 @@
         workspace = request.table->workspaces()->findByDigest(request.keyDigest);
     }
     platform::setWorkspace(httpRequest, workspace != nullptr ? workspace->name : std::string());
+    if (workspace == nullptr && request.route->anonymous)
+        return nullptr;
+    allowed = false;
+    // An outdated configuration may also lack a key that was added.
+    if (!key.empty() && !m_hooks.configurationProven()) {
+        refuseUnproven(request, workspace != nullptr ? workspace->name : std::string());
+        return nullptr;
+    }
     if (workspace == nullptr) {
-        allowed = request.route->anonymous;
-        if (allowed)
-            return nullptr;
         ++m_counters.unknownKey;
         log.info("unknown key id=" + request.metadata.requestId + " route=" + request.route->name
                  + " version=" + std::to_string(request.table->version()));
         request.call.respond(errorResponseFor(ResultCode::UnknownKey));
         return nullptr;
     }
-    allowed = m_hooks.configurationProven();
-    if (allowed)
-        return workspace;
+    allowed = true;
+    return workspace;
+}
+
+void RequestAdmission::refuseUnproven(const AdmittedRequest &request, const std::string &workspace)
+{
     ++m_counters.unproven;
     log.info("configuration may be outdated id=" + request.metadata.requestId + " workspace="
-             + workspace->name + " version=" + std::to_string(request.table->version()));
+             + workspace + m_hooks.describeProof());
     request.call.respond(
         errorResponseFor(ResultCode::HostBehind, {},
                          policy::forward::retryDelay(core::Duration{0}, m_hooks.random())));
-    return nullptr;
 }
 
 void RequestAdmission::onQuota(std::uint64_t httpCallId, QuotaDecision decision, TimePoint now)
--- a/packages/daemon/forward/request_admission.h
+++ b/packages/daemon/forward/request_admission.h
@@ -42,6 +42,8 @@
         std::function<double()> random;
         // Returns whether the configuration is recent enough for requests with a key.
         std::function<bool()> configurationProven;
+        // Returns version, age and limit of that proof, for the log.
+        std::function<std::string()> describeProof;
         // Decides whether a request is within its workspace's quota. Calls the handler once, maybe
         // before it returns.
         std::function<void(const policy::access::Workspace &, core::TimePoint now, QuotaHandler)>
@@ -73,6 +75,7 @@
     // Returns the workspace of the request; null if it needs none. Responds to a request without a
     // valid key and returns false in `allowed`.
     const policy::access::Workspace *authenticate(AdmittedRequest &request, bool &allowed);
+    void refuseUnproven(const AdmittedRequest &request, const std::string &workspace);
     void onQuota(std::uint64_t httpCallId, QuotaDecision decision, core::TimePoint now);
 
     Hooks m_hooks;
--- a/packages/daemon/peers/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -99,7 +99,8 @@
     const auto *member = m_table.find(name);
     const auto zone = member != nullptr ? member->zone : zoneOf(address);
     m_link.call(address, makeGossip(zone, now), m_period,
-                [this, name, requestedAt = now](const ports::PeerResult &result) {
+                [this, name, requestedAt = now,
+                 bootRequestedAt = core::BootClock::now()](const ports::PeerResult &result) {
                     const auto repliedAt = core::Clock::now();
                     if (result.outcome != PeerOutcome::Answered) {
                         if (!name.empty())
@@ -110,6 +111,7 @@
                     if (reply.from == m_table.self().name)
                         return;
                     onGossip(reply, requestedAt, repliedAt);
+                    m_hooks.onReply(reply, bootRequestedAt);
                     if (!name.empty())
                         m_table.onProbeResult(name, true, repliedAt);
                 });
@@ -119,7 +121,8 @@
                                core::Millis timeout, TimePoint now, GossipHandler done)
 {
     m_link.call(address, std::move(request), timeout,
-                [this, requestedAt = now, done = std::move(done)](const ports::PeerResult &result) {
+                [this, requestedAt = now, bootRequestedAt = core::BootClock::now(),
+                 done = std::move(done)](const ports::PeerResult &result) {
                     if (result.outcome != PeerOutcome::Answered)
                         return;
                     const auto &reply = std::get<ports::Gossip>(result.response);
@@ -127,6 +130,7 @@
                         return;
                     const auto repliedAt = core::Clock::now();
                     onGossip(reply, requestedAt, repliedAt);
+                    m_hooks.onReply(reply, bootRequestedAt);
                     done(reply, repliedAt);
                 });
 }
--- a/packages/daemon/peers/membership.h
+++ b/packages/daemon/peers/membership.h
@@ -24,6 +24,10 @@
         std::function<void(const ports::Gossip &, const policy::membership::Member &from,
                            std::optional<core::TimePoint> requestedAt, core::TimePoint now)>
             onGossip;
+        // Handles the reply to a request of this host, which was sent after `requestedAt`, a time
+        // on the boot clock.
+        std::function<void(const ports::Gossip &, core::BootTimePoint requestedAt)> onReply =
+            [](const ports::Gossip &, core::BootTimePoint) {};
     };
 
     // Precondition: the table and the link outlive this.
--- a/packages/policy/entrypoints/entry_points.cpp
+++ b/packages/policy/entrypoints/entry_points.cpp
@@ -41,6 +41,13 @@
     return member.capacity * maxLargeHostRatio >= zone.largest;
 }
 
+// Removes the hosts with a flag, unless all have it, so that none of them is worse than another.
+void excludeFlagged(std::vector<Member> &members, bool Member::*flag)
+{
+    if (std::any_of(members.begin(), members.end(), [&](const Member &it) { return !(it.*flag); }))
+        std::erase_if(members, [&](const Member &it) { return it.*flag; });
+}
+
 // Removes the small hosts of each zone whose large hosts suffice: requests take longer on a small
 // host, and fewer hosts in use means fewer connections to each server.
 void excludeSmallHosts(std::vector<Member> &members)
@@ -69,11 +76,8 @@
 {
     std::erase_if(members,
                   [](const Member &it) { return it.leaving || it.state != MemberState::Alive; });
-    // Unless all are cut off, so that none of them is worse than another.
-    const bool anyConnected =
-        std::any_of(members.begin(), members.end(), [](const Member &it) { return !it.cutOff; });
-    if (anyConnected)
-        std::erase_if(members, [](const Member &it) { return it.cutOff; });
+    excludeFlagged(members, &Member::cutOff);
+    excludeFlagged(members, &Member::unproven);
     excludeSmallHosts(members);
     return members;
 }
--- a/packages/policy/membership/member.h
+++ b/packages/policy/membership/member.h
@@ -33,7 +33,7 @@
     // Wall-clock start time of the process in milliseconds, so that it increases with each restart.
     std::uint64_t incarnation = 0;
     // Version of the record within an incarnation. Only the host itself increments it: to refute a
-    // suspicion, or when `strained` or `cutOff` changes.
+    // suspicion, or when `strained`, `cutOff` or `unproven` changes.
     std::uint32_t refutation = 0;
     MemberState state = MemberState::Alive;
     // The host is shutting down and is not advertised to callers any more.
@@ -48,6 +48,9 @@
     bool strained = false;
     // The host reaches no server, while other hosts do.
     bool cutOff = false;
+    // The host refuses requests with a key, since its configuration may be outdated, while other
+    // hosts serve them.
+    bool unproven = false;
 
     // Returns whether this record overrides `other` of the same host. Thread-safe.
     bool supersedes(const Member &other) const
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -399,6 +399,14 @@
     ++m_self.refutation;
 }
 
+void MemberTable::setUnproven(bool unproven)
+{
+    if (m_self.unproven == unproven)
+        return;
+    m_self.unproven = unproven;
+    ++m_self.refutation;
+}
+
 std::uint64_t MemberTable::digest() const
 {
     std::uint64_t out = reachable(m_self) ? recordHash(m_self, m_self.leaving) : 0;
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -122,6 +122,8 @@
     void setStrained(bool strained);
     // Announces a change of the `cutOff` flag of this host.
     void setCutOff(bool cutOff);
+    // Announces a change of the `unproven` flag of this host.
+    void setUnproven(bool unproven);
 
     const Member &self() const { return m_self; }
 
--- a/packages/policy/mirror/watch_role.cpp
+++ b/packages/policy/mirror/watch_role.cpp
@@ -25,9 +25,9 @@
         return core::rendezvousWeight(a.name, "store") > core::rendezvousWeight(b.name, "store");
     });
     hosts.resize(std::min(hosts.size(), m_timings.watchersPerZone));
-    m_followed = shared && std::any_of(hosts.begin(), hosts.end(), [&](const Member &it) {
-                     return it.name == self.name;
-                 });
+    m_selected = std::any_of(hosts.begin(), hosts.end(),
+                             [&](const Member &it) { return it.name == self.name; });
+    m_followed = shared && m_selected;
     m_watchers.clear();
     if (shared && !m_followed) {
         for (const auto &it : hosts)
--- a/packages/policy/mirror/watch_role.h
+++ b/packages/policy/mirror/watch_role.h
@@ -49,6 +49,9 @@
     bool watching() const { return m_watching; }
     // Returns whether this host is one of the zone's watchers, which others follow.
     bool followed() const { return m_followed; }
+    // Returns whether this host is among those of its zone that would watch for others, also while
+    // the zone is too small to share watchers.
+    bool selected() const { return m_selected; }
     // Returns the peer addresses of the hosts to follow; empty if there are none.
     const std::vector<std::string> &watchers() const { return m_watchers; }
 
@@ -62,6 +65,7 @@
     core::Duration m_startupDelay{0};
     bool m_watching = false;
     bool m_followed = false;
+    bool m_selected = false;
     std::vector<std::string> m_watchers;
     core::TimePoint m_startedAt{};
     core::TimePoint m_followingSince{};
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -46,10 +46,11 @@
     std::uint64_t crashDigest = 0;
     // Age of the last response of a server to the sender, if there was one.
     std::optional<core::Millis> serverResponseAge;
-    // Age of the sender's newest proof that `proofVersion` was the newest configuration, if it has
-    // one.
+    // Age of the sender's newest proof that the configuration with `proofVersion` and `proofDigest`
+    // was the newest one, if it has a proof.
     std::optional<core::Millis> proofAge;
     std::uint64_t proofVersion = 0;
+    std::uint64_t proofDigest = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
