--- a/packages/policy/mirror/watch_role.cpp
+++ b/packages/policy/mirror/watch_role.cpp
@@ -26,9 +26,9 @@
     });
     hosts.resize(std::min(hosts.size(), m_timings.watchersPerZone));
     const bool wasFollowed = m_followed;
-    m_followed = shared && std::any_of(hosts.begin(), hosts.end(), [&](const Member &it) {
-                     return it.name == self.name;
-                 });
+    m_selected = std::any_of(hosts.begin(), hosts.end(),
+                             [&](const Member &it) { return it.name == self.name; });
+    m_followed = shared && m_selected;
     if (m_followed && !wasFollowed && m_watching)
         m_watchesOutdated = true;
     m_watchers.clear();
--- a/packages/policy/mirror/watch_role.h
+++ b/packages/policy/mirror/watch_role.h
@@ -62,6 +62,9 @@
     // Returns whether this host was watching when it became one that others follow; once each time.
     // Its watches in progress may last longer than followers wait for a confirmation.
     bool takeWatchesOutdated() { return std::exchange(m_watchesOutdated, false); }
+    // Returns whether this host is among those of its zone that would watch for others, also while
+    // the zone is too small to share watchers.
+    bool selected() const { return m_selected; }
     // Returns the peer addresses of the hosts to follow; empty if there are none.
     const std::vector<std::string> &watchers() const { return m_watchers; }
 
@@ -76,6 +79,7 @@
     bool m_watching = false;
     bool m_followed = false;
     bool m_watchesOutdated = false;
+    bool m_selected = false;
     std::vector<std::string> m_watchers;
     core::TimePoint m_startedAt{};
     core::TimePoint m_followingSince{};
