Keep the workspaces' quotas by lending tokens between hosts

The hooks of the admission allowed everything. A lender per workspace owns the bucket, the other hosts borrow from it, and its deputy lends while it is silent.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -260,6 +260,7 @@
     borrow.setWorkspace(from.workspace);
     borrow.setWanted(from.wanted);
     borrow.setReturned(from.returned);
+    borrow.setPassedOn(from.passedOn);
 }
 
 void writeAnswer(const ports::QuotaResponse &from, wire::Message::Builder to)
@@ -401,9 +402,9 @@
     case wire::Message::FOLLOWED:
         return PeerResponse(readCopyResponse(from.getFollowed()));
     case wire::Message::BORROW_QUOTA:
-        return PeerRequest(ports::QuotaRequest{asString(from.getBorrowQuota().getWorkspace()),
-                                               from.getBorrowQuota().getWanted(),
-                                               from.getBorrowQuota().getReturned()});
+        return PeerRequest(ports::QuotaRequest{
+            asString(from.getBorrowQuota().getWorkspace()), from.getBorrowQuota().getWanted(),
+            from.getBorrowQuota().getReturned(), from.getBorrowQuota().getPassedOn()});
     case wire::Message::LENT_QUOTA:
         return PeerResponse(ports::QuotaResponse{from.getLentQuota().getTokens(),
                                                  core::Millis(from.getLentQuota().getWaitMs())});
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -33,7 +33,15 @@
 {
     if (const auto *gossip = std::get_if<ports::Gossip>(&request))
         return !gossip->comparison;
-    return std::holds_alternative<ports::ProbeRequest>(request);
+    return std::holds_alternative<ports::ProbeRequest>(request)
+        || std::holds_alternative<ports::QuotaRequest>(request);
+}
+
+// Returns the identity of a datagram among those of all hosts.
+std::string messageIdOf(const udp::endpoint &from, std::uint64_t id)
+{
+    return from.address().to_string() + ":" + std::to_string(from.port()) + "/"
+        + std::to_string(id);
 }
 
 loop::HttpServerLimits serverLimits()
@@ -116,6 +124,8 @@
             return complete(message->id, std::move(*answer), from);
         ports::PeerCall call;
         call.request = std::move(std::get<ports::PeerRequest>(message->content));
+        if (std::holds_alternative<ports::QuotaRequest>(call.request))
+            call.messageId = messageIdOf(from, message->id);
         call.reply = [this, id = message->id, from](const ports::PeerResponse &answer) {
             const auto bytes = encode(id, answer);
             count(answer, bytes.size());
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -147,6 +147,8 @@
       workspace @34 :Text;
       wanted @35 :Int32;
       returned @36 :Int32;
+      # The sender passes on the request of another host.
+      passedOn @39 :Bool;
     }
     # waitMs: time until the lender has a further token; without one only.
     lentQuota :group {
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -16,6 +16,7 @@
 #include "daemon/forward/reach_checker.h"
 #include "daemon/forward/request_admission.h"
 #include "daemon/forward/request_relay.h"
+#include "daemon/forward/workspace_quota.h"
 #include "daemon/peers/member_setup.h"
 #include "daemon/peers/membership.h"
 #include "platform/http_messages.h"
@@ -114,6 +115,8 @@
                   {[this] { return otherHosts(); }, [this] { return uniform(); }}),
           m_link(m_io, m_settings->listen.peers.value,
                  [this](ports::PeerCall call) { onPeer(std::move(call)); }),
+          m_workspaceQuota(WorkspaceQuota::parametersOf(*m_settings), m_link,
+                           {[this] { return uniform(); }, core::Clock::now}),
           m_quarantineSync(m_quarantine, m_link),
           m_copy(m_storeClient, m_backends, m_link, entryLifetime(), copyHooks()),
           m_members(makeMemberTable()),
@@ -205,7 +208,9 @@
             [this] { return m_copy.serversKnown(); },
             [this] { onCrashRecorded(); },
             [this](const std::string &keyDigest) { return m_admission.accessAllowed(keyDigest); },
-            [](const std::string &, TimePoint) {},
+            [this](const std::string &workspace, TimePoint now) {
+                m_workspaceQuota.giveBack(workspace, now);
+            },
             [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
                 m_reach.onAttempt(backend, responded, now);
             }};
@@ -216,9 +221,13 @@
         RequestAdmission::Hooks hooks;
         hooks.random = [this] { return uniform(); };
         hooks.configurationProven = [] { return true; };
-        hooks.admitQuota = [](const policy::access::Workspace &, TimePoint now,
-                              const RequestAdmission::QuotaHandler &decide) { decide({}, now); };
-        hooks.returnQuota = [](const std::string &, TimePoint) {};
+        hooks.admitQuota = [this](const policy::access::Workspace &workspace, TimePoint now,
+                                  RequestAdmission::QuotaHandler decide) {
+            m_workspaceQuota.admit(workspace, now, std::move(decide));
+        };
+        hooks.returnQuota = [this](const std::string &workspace, TimePoint now) {
+            m_workspaceQuota.giveBack(workspace, now);
+        };
         hooks.forward = [this](AdmittedRequest request, TimePoint now) {
             m_forward.handle(std::move(request), now);
         };
@@ -245,6 +254,7 @@
     void updateQuota(TimePoint now)
     {
         m_quota.update(m_members, m_admission.counters().requests, now);
+        m_workspaceQuota.setMembers(m_members.all(), now);
         m_backends.setLimitShare(m_quota.demandShare());
         m_forward.setExtraBurst(m_quota.extraBurst());
         m_backendClient.setIdleTimeout(
@@ -345,6 +355,7 @@
             m_zoneHostsRegistered += it.zone == m_members.self().zone ? 1 : 0;
         }
         m_members.addSeeds(addresses);
+        m_workspaceQuota.setRegisteredHosts(hosts.size());
     }
 
     void updateRole(TimePoint now)
@@ -378,6 +389,7 @@
         m_callers.setLimits(limits);
         if (m_relayServer)
             m_relayServer->setLimits(relayLimits(limits));
+        m_workspaceQuota.setWorkspaces(table->workspaces(), core::Clock::now());
         m_admission.setRoutes(std::move(table));
     }
 
@@ -389,8 +401,10 @@
                                   ? m_quarantineSync.handleFetch(now)
                                   : m_copy.handleFetch(fetch->kind));
         }
-        if (std::holds_alternative<ports::QuotaRequest>(call.request))
-            return call.reply(ports::QuotaResponse{ports::workspaceUnknownTokens, {}});
+        if (std::holds_alternative<ports::QuotaRequest>(call.request)) {
+            m_workspaceQuota.handle(call, now);
+            return arm(now);
+        }
         if (const auto *follower = std::get_if<ports::CopyRequest>(&call.request))
             return call.reply(m_copy.handleFollower(*follower, now));
         m_membership.handle(std::move(call), now);
@@ -484,7 +498,8 @@
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200,
                 {{"Content-Type", "text/plain"}},
-                formatMetrics(gauges, m_forward.counters(), m_admission.counters())};
+                formatMetrics(gauges, m_forward.counters(), m_admission.counters())
+                    + m_workspaceQuota.metrics()};
     }
 
     bool ready() const
@@ -623,6 +638,7 @@
         const auto now = core::Clock::now();
         m_forward.tick(now);
         m_link.tick(now);
+        m_workspaceQuota.tick(now);
         if (now >= m_maintenanceAt) {
             m_maintenanceAt = now + maintenancePeriod;
             runMaintenance(now);
@@ -680,7 +696,12 @@
     }
 
     // Sets the timer to the next event, unless it is already set to an earlier time.
-    void arm(TimePoint now) { m_timer.arm(std::min(m_maintenanceAt, m_forward.nextTickAt()), now); }
+    void arm(TimePoint now)
+    {
+        m_timer.arm(
+            std::min({m_maintenanceAt, m_forward.nextTickAt(), m_workspaceQuota.nextTickAt()}),
+            now);
+    }
 
     std::shared_ptr<const adapters::settings::Settings> m_settings;
     std::string m_path;
@@ -699,6 +720,7 @@
     ExchangeClient m_relayClient;
     RequestRelay m_relay;
     adapters::peers::LoopPeerLink m_link;
+    WorkspaceQuota m_workspaceQuota;
     QuarantineSync m_quarantineSync;
     PlatformCopy m_copy;
     policy::membership::MemberTable m_members;
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -140,6 +140,8 @@
     int wanted = 0;
     // Tokens of earlier loans that were not used.
     int returned = 0;
+    // The sender passes on the request of another host, so the receiver must decide on it.
+    bool passedOn = false;
 };
 struct QuotaResponse
 {
@@ -214,6 +216,9 @@
 struct PeerCall
 {
     PeerRequest request;
+    // Identifies a QuotaRequest datagram among those of all hosts, so that the receiver recognizes
+    // a copy that the network made; empty for other transports, which make none.
+    std::string messageId;
     std::function<void(PeerResponse)> reply;
 };
 
