Correct expected response times by the speed that servers report

Servers that are slowed down by neighbours for some tenths of a second were avoided only after several of their responses had come late, and preferred again only after the average had forgotten them. Load reports may now carry how long work takes at the server. Response times are averaged at the usual speed, and estimates are multiplied by the last reported slowdown, which halves every 200 ms. Values are clamped to a tenth and twenty times the usual time; 0 and negative ones are ignored. Services that do not report speeds behave as before.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -260,7 +260,7 @@
     const auto reply = platform::readServerReply(result);
     if (reply.load) {
         m_backends.onLoadReport(backend, reply.load->running, reply.load->waiting,
-                                reply.load->slots, now);
+                                reply.load->slots, now, reply.load->speedPercent);
     }
     noteRequests(backend, reply, now);
     noteCompletion(attempt, reply, now);
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -27,6 +27,11 @@
 // Relative spread of the random jitter that keeps hosts from all selecting the same server.
 constexpr double costJitter = 0.2;
 constexpr double millisPerSecond = 1000;
+// Range of the reported time of work, in hundredths of the usual one. Values outside are faults of
+// the server.
+constexpr int minSpeedPercent = 10;
+constexpr int maxSpeedPercent = 2000;
+constexpr double usualSpeedPercent = 100;
 
 double decayFactor(double elapsedMs, double halfLifeMs)
 {
@@ -154,6 +159,7 @@
         for (const auto &it : service.second.backends) {
             it->latencyMs = 0;
             it->processingMs = 0;
+            it->slowdown = 1;
             it->failures = {};
             it->refusals = {};
             it->consecutiveFailures = 0;
@@ -208,6 +214,16 @@
     return weight * backend.latencyMs + (1 - weight) * typical;
 }
 
+double BackendTable::slowdown(const Backend &backend, TimePoint now) const
+{
+    if (backend.slowdown == 1)
+        return 1;
+    return 1
+        + (backend.slowdown - 1)
+        * decayFactor(core::toMillis(now - backend.reportedAt),
+                      core::toMillis(m_parameters.slowdownHalfLife));
+}
+
 double BackendTable::requestsPerSlot(const Backend &backend, TimePoint now) const
 {
     // The longer the processing time, the more slowly the server's queue changes.
@@ -247,7 +263,8 @@
     const double typical = typicalProcessingMs(service, now);
     const double weight = backend.processingMs > 0 ? lastSampleWeight(backend, now) : 0;
     LatencyEstimate out;
-    out.processingMs = weight * backend.processingMs + (1 - weight) * typical;
+    out.processingMs =
+        (weight * backend.processingMs + (1 - weight) * typical) * slowdown(backend, now);
     // Without a free slot, a request starts when the requests ahead of it have released one.
     const double slots = std::max(backend.record.slots, 1);
     const double rounds = std::max(0.0, requestsPerSlot(backend, now) - 1 + 1 / slots);
@@ -294,7 +311,7 @@
 
 double BackendTable::cost(const Service &service, const Backend &backend, TimePoint now) const
 {
-    const double latency = expectedMs(service, backend, now);
+    const double latency = expectedMs(service, backend, now) * slowdown(backend, now);
     double total = latency * (1 + requestsPerSlot(backend, now));
     if (backend.record.zone != m_zone)
         total += m_parameters.crossZonePenaltyMs;
@@ -372,8 +389,8 @@
         backend.failures.add(false, failureSampleWeight, now, m_parameters.failureHalfLife);
         backend.refusals.add(false, refusalSampleWeight, now, m_parameters.refusalHalfLife);
         backend.consecutiveFailures = 0;
-        updateProcessingTime(service, backend, latency, now);
-        updateLatency(service, backend, latency, now);
+        updateProcessingTime(service, backend, latency / slowdown(backend, now), now);
+        updateLatency(service, backend, latency / slowdown(backend, now), now);
         return;
     case AttemptOutcome::Refused:
         backend.backoffUntil = now + m_parameters.refusalBackoff;
@@ -389,7 +406,7 @@
         recordFailure(backend, now, m_parameters.ejectionThreshold);
         return;
     case AttemptOutcome::TimedOut:
-        updateLatency(service, backend, latency, now);
+        updateLatency(service, backend, latency / slowdown(backend, now), now);
         recordFailure(backend, now, 1);
         return;
     case AttemptOutcome::Cancelled:
@@ -447,12 +464,15 @@
 }
 
 void BackendTable::onLoadReport(Backend &backend, int running, int waiting, int slots,
-                                TimePoint now)
+                                TimePoint now, std::optional<int> speedPercent)
 {
     const int own = static_cast<int>(backend.pending.size());
     backend.otherHostsLoad = std::max(0, running + waiting - own);
     backend.reportedQueuePerSlot = static_cast<double>(waiting) / std::max(slots, 1);
     backend.reportedAt = now;
+    backend.slowdown = !speedPercent || *speedPercent <= 0
+        ? 1
+        : std::clamp(*speedPercent, minSpeedPercent, maxSpeedPercent) / usualSpeedPercent;
     if (slots > 0)
         backend.record.slots = slots;
 }
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -76,9 +76,9 @@
     bool missing = false;
     // Send times of the attempts in flight, oldest first.
     std::vector<core::TimePoint> pending;
-    // Moving average of the response time; 0 before the first sample.
+    // Moving average of the response time at the server's usual speed; 0 before the first sample.
     double latencyMs = 0;
-    // Moving average of the processing time of a request, without the time in the server's queue.
+    // The same of the processing time of a request, without the time in the server's queue.
     double processingMs = 0;
     core::TimePoint sampledAt{};
     DecayingRate failures;
@@ -96,6 +96,9 @@
     // Queued requests per slot, from the server's last load report.
     double reportedQueuePerSlot = 0;
     core::TimePoint reportedAt{};
+    // How many times as long as usual work took at the server, from its last load report; 1 for
+    // servers that do not tell.
+    double slowdown = 1;
 };
 using BackendPtr = std::shared_ptr<Backend>;
 
@@ -124,6 +127,8 @@
     // Cost of a server that refuses every request, in ms: above that of the longest queue in which
     // a request can still be worth sending.
     double refusalPenaltyMs = 250;
+    // Half-life of a reported slowdown: bursts of slowness end after some tenths of a second.
+    core::Duration slowdownHalfLife = std::chrono::milliseconds(200);
     // Half-lives of the failure rate and of the refusal rate.
     core::Duration failureHalfLife = std::chrono::seconds(2);
     core::Duration refusalHalfLife = std::chrono::seconds(5);
@@ -200,8 +205,11 @@
     void onEnded(Backend &backend, AttemptOutcome outcome, core::TimePoint sentAt,
                  core::TimePoint now);
 
-    // Records a load report of a server: its running and queued requests and its slots.
-    void onLoadReport(Backend &backend, int running, int waiting, int slots, core::TimePoint now);
+    // Records a load report of a server: its running and queued requests, its slots, and how long
+    // work takes there now, in hundredths of the usual time, if it tells. Call before onEnded() of
+    // the attempt whose response carries the report, whose latency is measured at this speed.
+    void onLoadReport(Backend &backend, int running, int waiting, int slots, core::TimePoint now,
+                      std::optional<int> speedPercent = std::nullopt);
 
     // Records that a server process is leaving, reported by itself or by another host. It gets no
     // new requests, also if its entry is removed and listed again. Returns whether this was new.
@@ -259,8 +267,10 @@
     // Sets whether the server's entry is missing.
     void setMissing(Backend &backend, bool missing);
     bool hasCapacity(const Backend &backend, core::TimePoint now) const;
-    // Returns the latency expected of the server when idle: its own average, which decays towards
-    // the service's typical latency.
+    // Returns how many times as long as usual work takes at the server, which decays to 1.
+    double slowdown(const Backend &backend, core::TimePoint now) const;
+    // Returns the latency expected of the server when idle at its usual speed: its own average,
+    // which decays towards the service's typical latency.
     double expectedMs(const Service &service, const Backend &backend, core::TimePoint now) const;
     // Returns the service's typical processing time, in ms. A high one decays while no request is
     // sent, so that a service which is left out as too slow is tried again.
