Send no requests to servers of evacuated zones

The store's objects of the kind evacuations each name a zone that must get no requests. Servers of these zones are not usable, so that waiting, retried, hedged and relayed attempts leave them out. Hosts that start use no server before they know the zones. With apply_ms 0 the store is not asked.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -40,7 +40,7 @@
 
 PlatformCopy::PlatformCopy(adapters::loop::ExchangeClient &client,
                            policy::forward::BackendTable &backends, ports::PeerLink &peers,
-                           core::Duration entryLifetime, Hooks hooks)
+                           core::Duration entryLifetime, core::Millis evacuationTime, Hooks hooks)
     : m_peers(peers), m_hooks(std::move(hooks)), m_role({}),
       m_follower(peers, m_role,
                  {[this] { return m_serversVersion; },
@@ -48,7 +48,8 @@
                          TimePoint now) { return onFollowed(response, address, now); }}),
       m_serverList(backends, entryLifetime),
       m_config(platform::names::configKind, client, makeMirror(), configHooks()),
-      m_servers(platform::names::serversKind, client, makeMirror(), serverHooks())
+      m_servers(platform::names::serversKind, client, makeMirror(), serverHooks()),
+      m_evacuations(evacuationTime, client, backends, peers, makeMirror(), evacuationHooks())
 { }
 
 policy::mirror::Mirror PlatformCopy::makeMirror()
@@ -68,7 +69,7 @@
         },
         [](const std::string &) {},
         [](bool, TimePoint) {},
-        [this](TimePoint now) { checkWatch(m_servers, now); },
+        [this](TimePoint now) { onWatchSilent(now); },
         [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
@@ -83,12 +84,27 @@
         [this](const std::string &name, TimePoint now) { m_serverList.onRemoved(name, now); },
         [this](const std::string &name) { m_serverList.onMissing(name); },
         [this](bool watched, TimePoint now) { onServersSynced(watched, now); },
-        [this](TimePoint now) { checkWatch(m_config, now); },
+        [this](TimePoint now) { onWatchSilent(now); },
         [this] { return serversWatchWait(); },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
         [this] { return m_hooks.address(); }};
 }
 
+EvacuationSync::Hooks PlatformCopy::evacuationHooks()
+{
+    return {
+        [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
+        [this] { return m_hooks.address(); }, [this](TimePoint now) { onWatchSilent(now); }};
+}
+
+void PlatformCopy::onWatchSilent(TimePoint now)
+{
+    // The sync whose watch was silent is failing now.
+    checkWatch(m_config, now);
+    checkWatch(m_servers, now);
+    m_evacuations.checkWatch(now);
+}
+
 void PlatformCopy::checkWatch(StoreSync &sync, TimePoint now)
 {
     if (sync.mirror().watching() && !sync.mirror().failing())
@@ -132,11 +148,12 @@
         return;
     m_wasWatching = m_role.watching();
     log.info(m_wasWatching ? "watching the store" : "following other hosts");
+    m_evacuations.setWatching(m_wasWatching, now);
     if (m_wasWatching)
         return m_servers.addKnown(m_serverList.ids());
     m_config.stop(now);
     m_servers.stop(now);
-    m_loadedFromPeer = serversKnown();
+    m_loadedFromPeer = m_loadedFromPeer || m_loadedFromStore;
     m_loadedFromStore = false;
 }
 
@@ -146,6 +163,7 @@
         m_config.tick(now);
         m_servers.tick(now);
     }
+    m_evacuations.tick(m_loadedFromStore || m_loadedFromPeer, now);
     m_follower.tick(now);
     m_serverList.tick(now);
     checkStale(now);
@@ -167,6 +185,7 @@
 {
     if (observeEra(response.version.era, now) == policy::mirror::EraOrder::Outdated)
         return false;
+    m_evacuations.onFollowed(response.evacuatedZones, address, now);
     if (response.configVersion > version())
         fetch(DocumentKind::Lists, address);
     // While this host watches by itself, its own list is as new.
@@ -190,6 +209,10 @@
                                                  TimePoint now) const
 {
     ports::CopyResponse response;
+    // Without the evacuated zones this host has no copy to follow.
+    if (!m_evacuations.known())
+        return response;
+    response.evacuatedZones = m_evacuations.zones();
     response.version = m_serversVersion;
     response.configVersion = version();
     response.confirmationAge = confirmationAge(now);
@@ -221,6 +244,7 @@
     if (m_wasWatching) {
         m_config.onStoreRestored(now);
         m_servers.onStoreRestored(now);
+        m_evacuations.onStoreRestored(now);
     }
     m_hooks.onStoreRestored(now);
     return order;
@@ -247,6 +271,7 @@
     if (gossip.storeEra != 0)
         observeEra(gossip.storeEra, now);
     compareServers(gossip, now);
+    m_evacuations.onPeerSeen(address);
     const auto reported = gossip.listsVersion.revision;
     if (reported <= version())
         return;
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -3,6 +3,7 @@
 #include "adapters/loop/exchange_client.h"
 #include "core/clock.h"
 #include "daemon/forward/copy_follower.h"
+#include "daemon/forward/evacuation_sync.h"
 #include "daemon/forward/server_list.h"
 #include "daemon/forward/store_sync.h"
 #include "policy/forward/backend_table.h"
@@ -34,8 +35,10 @@
     };
 
     // `entryLifetime`: time after which the store removes the entry of a silent server.
+    // `evacuationTime`: time within which an evacuation must be in force; 0: there are none.
     PlatformCopy(adapters::loop::ExchangeClient &client, policy::forward::BackendTable &backends,
-                 ports::PeerLink &peers, core::Duration entryLifetime, Hooks hooks);
+                 ports::PeerLink &peers, core::Duration entryLifetime, core::Millis evacuationTime,
+                 Hooks hooks);
 
     // Makes the calls to the store and to peers that are due. Call periodically.
     void tick(core::TimePoint now);
@@ -62,12 +65,19 @@
     ports::CopyResponse handleFollower(const ports::CopyRequest &request,
                                        core::TimePoint now) const;
 
-    // Returns whether the server list was loaded, from the store or from another host.
-    bool serversKnown() const { return m_loadedFromStore || m_loadedFromPeer; }
+    // Returns whether the server list was loaded, from the store or from another host, and the
+    // evacuated zones are known.
+    bool serversKnown() const
+    {
+        return (m_loadedFromStore || m_loadedFromPeer) && m_evacuations.known();
+    }
     // Returns the version of the configuration in force; 0 without one.
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
     // Returns the number of calls to the store since the start.
-    std::uint64_t storeCalls() const { return m_config.calls() + m_servers.calls(); }
+    std::uint64_t storeCalls() const
+    {
+        return m_config.calls() + m_servers.calls() + m_evacuations.calls();
+    }
     // Compares the era of a store response with the newest one known. If it rose, reads
     // everything from the store again.
     policy::mirror::EraOrder observeEra(std::optional<std::uint64_t> era, core::TimePoint now);
@@ -77,12 +87,15 @@
     bool storeReached(core::TimePoint now) const;
 
 private:
+    // Checks by the other syncs whether the store answers, after a watch of one was silent.
+    void onWatchSilent(core::TimePoint now);
     // Watches anew by a sync whose watch may have gone silent with the other one's.
     static void checkWatch(StoreSync &sync, core::TimePoint now);
     // Returns how long the store may hold this host's watch of the servers.
     core::Millis serversWatchWait() const;
     StoreSync::Hooks configHooks();
     StoreSync::Hooks serverHooks();
+    EvacuationSync::Hooks evacuationHooks();
     policy::mirror::Mirror makeMirror();
     // Records that the server list equals the store's.
     void onServersSynced(bool watched, core::TimePoint now);
@@ -115,6 +128,7 @@
     ServerList m_serverList;
     StoreSync m_config;
     StoreSync m_servers;
+    EvacuationSync m_evacuations;
     policy::forward::RouteTablePtr m_table;
     // The configuration in the platform's JSON format, for other hosts.
     std::string m_configText;
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -174,17 +174,31 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
-bool BackendTable::usable(const Service &service, const Backend &backend, TimePoint now)
+bool BackendTable::usable(const Service &service, const Backend &backend, TimePoint now) const
 {
+    if (m_evacuated.contains(backend.record.zone))
+        return false;
     if (backend.missing && 2 * service.missing <= service.backends.size())
         return false;
     return backend.listed && !backend.record.leaving && backend.ejectedUntil <= now
         && backend.restUntil <= now;
 }
 
-bool BackendTable::hasCapacity(const Backend &backend, TimePoint now) const
+bool BackendTable::isZoneAdmitted(const Service &service, const Backend &backend,
+                                  TimePoint now) const
+{
+    if (m_evacuated.admits(backend.record.zone, now))
+        return true;
+    // Requests that no server of another zone can run do not wait for the traffic to return.
+    return std::none_of(
+        service.backends.begin(), service.backends.end(), [&](const BackendPtr &it) {
+            return it->record.zone != backend.record.zone && usable(service, *it, now);
+        });
+}
+
+bool BackendTable::hasCapacity(const Service &service, const Backend &backend, TimePoint now) const
 {
-    if (backend.backoffUntil > now)
+    if (backend.backoffUntil > now || !isZoneAdmitted(service, backend, now))
         return false;
     if (backend.limit && !backend.limit->allows(m_limitShare, now))
         return false;
@@ -333,7 +347,7 @@
     BackendPtr best;
     double bestCost = 0;
     for (const auto &it : found->backends) {
-        if (!usable(*found, *it, now) || !hasCapacity(*it, now))
+        if (!usable(*found, *it, now) || !hasCapacity(*found, *it, now))
             continue;
         if (std::find(exclude.begin(), exclude.end(), it) != exclude.end())
             continue;
@@ -365,7 +379,7 @@
         return 0;
     return static_cast<int>(
         std::count_if(found->backends.begin(), found->backends.end(), [&](const BackendPtr &it) {
-            return usable(*found, *it, now) && hasCapacity(*it, now);
+            return usable(*found, *it, now) && hasCapacity(*found, *it, now);
         }));
 }
 
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "policy/forward/evacuated_zones.h"
 #include "policy/forward/request_limit.h"
 #include "policy/routing/server_table.h"
 
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -228,6 +230,15 @@
     // Sets this host's fraction of the servers' limits, above 0 and at most 1.
     void setLimitShare(double share) { m_limitShare = share; }
 
+    // Uses no server until the first call of setEvacuated().
+    void awaitEvacuations() { m_evacuated.awaitUpdate(); }
+
+    // Sets the zones whose servers get no requests.
+    void setEvacuated(const std::set<std::string> &zones, core::TimePoint now)
+    {
+        m_evacuated.update(zones, m_random(), now);
+    }
+
     // Returns when the first resting or ejected server of the service is used again; nothing if
     // the service has none.
     std::optional<core::TimePoint> availableAgainAt(const std::string &service,
@@ -263,10 +274,12 @@
 
     const Service *find(const std::string &service) const;
     bool isKnownAsLeaving(const BackendRecord &record) const;
-    static bool usable(const Service &service, const Backend &backend, core::TimePoint now);
+    bool usable(const Service &service, const Backend &backend, core::TimePoint now) const;
+    // Returns whether the server's zone gets requests of the service now, after an evacuation.
+    bool isZoneAdmitted(const Service &service, const Backend &backend, core::TimePoint now) const;
     // Sets whether the server's entry is missing.
     void setMissing(Backend &backend, bool missing);
-    bool hasCapacity(const Backend &backend, core::TimePoint now) const;
+    bool hasCapacity(const Service &service, const Backend &backend, core::TimePoint now) const;
     // Returns how many times as long as usual work takes at the server, which decays to 1.
     double slowdown(const Backend &backend, core::TimePoint now) const;
     // Returns the latency expected of the server when idle at its usual speed: its own average,
@@ -299,6 +312,7 @@
     std::function<int(const std::string &)> m_connectionLimit;
     std::function<double()> m_random;
     double m_limitShare = 1;
+    EvacuatedZones m_evacuated;
     std::unordered_map<std::string, Service> m_services;
     std::unordered_map<std::string, BackendPtr> m_byId;
     std::unordered_map<std::string, LeavingProcess> m_leaving;
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -50,7 +50,9 @@
 
 RoutedCluster::RoutedCluster(
     int hosts, int zoneCount,
-    std::function<std::string(std::size_t host, const std::string &store)> storeAddress)
+    std::function<std::string(std::size_t host, const std::string &store)> storeAddress,
+    std::string furtherSettings)
+    : m_furtherSettings(std::move(furtherSettings))
 {
     m_platform = std::make_unique<Process>(
         std::vector<std::string>{programPath("tests/standins"), "--platform"});
@@ -99,7 +101,7 @@
         + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
         + host.readiness + "\"\npeers = \"" + host.peers + "\"\nmetrics = \"" + host.metrics
         + "\"\nrelay = \"" + host.relay + "\"\n[platform]\naddress = \"" + storeAddress
-        + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
+        + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n" + m_furtherSettings;
 }
 
 void RoutedCluster::start(std::size_t n)
@@ -192,6 +194,14 @@
     return get(m_platformAddress + "/objects/" + kind + "/" + name).status == 200;
 }
 
+void RoutedCluster::createStored(const std::string &kind, const std::string &name,
+                                 const json &spec) const
+{
+    const json object{{"meta", {{"name", name}}}, {"spec", spec}};
+    if (post(m_platformAddress + "/objects/" + kind, object.dump()).status != 200)
+        throw std::runtime_error("the platform stand-in did not store " + kind + "/" + name);
+}
+
 void RoutedCluster::removeStored(const std::string &kind, const std::string &name) const
 {
     Transfer transfer;
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -30,10 +30,11 @@
     // Starts all processes, with the hosts in up to three zones, and waits until every host is
     // ready and knows all others. Throws std::runtime_error if one does not.
     // `storeAddress` returns the address at which a host reaches the platform's store; by default
-    // the store's own.
+    // the store's own. `furtherSettings` is appended to the hosts' settings files.
     explicit RoutedCluster(
         int hosts = 3, int zoneCount = 3,
-        std::function<std::string(std::size_t host, const std::string &store)> storeAddress = {});
+        std::function<std::string(std::size_t host, const std::string &store)> storeAddress = {},
+        std::string furtherSettings = {});
 
     // Returns a configuration with this version and four routes: "/all/" fans out to three shards,
     // "/one/" is an idempotent and "/claim/" a non-idempotent route to one service, and "/split/"
@@ -69,6 +70,8 @@
     void setBackends(const json &changes) const;
     // Returns whether the platform's store holds an object of this kind and name.
     bool isStored(const std::string &kind, const std::string &name) const;
+    // Creates an object in the platform's store.
+    void createStored(const std::string &kind, const std::string &name, const json &spec) const;
     // Deletes an object from the platform's store.
     void removeStored(const std::string &kind, const std::string &name) const;
     // Returns the addresses of all servers, from their entries in the store at `store`.
@@ -89,6 +92,7 @@
     std::unique_ptr<Process> m_farm;
     std::string m_platformAddress;
     std::string m_farmAddress;
+    std::string m_furtherSettings;
     std::vector<RoutedHost> m_hosts;
 };
 
