Test the keys, the admission and the proof of the configuration

The tests found that a workspace with an empty list of keys gave a copy with the digests null, which other hosts rejected; that a list of workspaces of another type was accepted; and that the detail of an unreadable answer, which is logged, quoted the answer and so maybe a key.

--- a/packages/daemon/forward/configuration_prover.cpp
+++ b/packages/daemon/forward/configuration_prover.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 ConfigurationProver::ConfigurationProver(const adapters::settings::Settings &settings,
-                                         adapters::loop::ExchangeClient &client,
-                                         PlatformCopy &copy, Hooks hooks)
+                                         adapters::loop::ExchangeClient &client, PlatformCopy &copy,
+                                         Hooks hooks)
     : m_client(client), m_copy(copy), m_hooks(std::move(hooks)),
       m_strict(settings.access.strictRevocation.value != 0),
       m_proof(settings.access.revokeMs.millis()),
@@ -50,8 +50,7 @@
 {
     ++m_reads;
     m_schedule.onStarted(bootNow);
-    auto request =
-        platform::getRequest(platform::names::configKind, platform::names::configName);
+    auto request = platform::getRequest(platform::names::configKind, platform::names::configName);
     request.deadline = now + m_schedule.timeout();
     m_client.send(m_hooks.address(), std::move(request), now,
                   [this, startedAt = bootNow](const ports::ExchangeResult &result) {
@@ -71,8 +70,7 @@
     } else {
         reply = platform::readReply(result);
     }
-    const bool current =
-        m_copy.observeEra(reply.era, now) != policy::mirror::EraOrder::Outdated;
+    const bool current = m_copy.observeEra(reply.era, now) != policy::mirror::EraOrder::Outdated;
     if (!current || reply.outcome != StoreOutcome::Done) {
         log.info("read failed why=" + (current ? reply.detail : "earlier era") + describe(bootNow));
         return m_schedule.onFailed(reply.retryAfter, bootNow);
@@ -131,8 +129,7 @@
     if (!m_wasFresh && fresh)
         log.info("configuration proven" + describe(bootNow));
     m_wasFresh = fresh;
-    const bool othersProven =
-        m_othersProvenAt && bootNow - *m_othersProvenAt < othersReportTime;
+    const bool othersProven = m_othersProvenAt && bootNow - *m_othersProvenAt < othersReportTime;
     // Callers stay at the hosts while the store is down for all.
     setUnproven(!fresh && (m_unproven || othersProven));
 }
@@ -150,8 +147,7 @@
     const auto age = m_proof.age(bootNow);
     return " version=" + std::to_string(m_proof.inForce().version) + " age_ms="
         + (age ? std::to_string(std::chrono::ceil<core::Millis>(*age).count()) : "none")
-        + " limit_ms="
-        + std::to_string(std::chrono::floor<core::Millis>(m_proof.limit()).count());
+        + " limit_ms=" + std::to_string(std::chrono::floor<core::Millis>(m_proof.limit()).count());
 }
 
 ProofStatus ConfigurationProver::status(BootTimePoint bootNow) const
--- a/packages/daemon/forward/request_admission.cpp
+++ b/packages/daemon/forward/request_admission.cpp
@@ -97,8 +97,8 @@
 void RequestAdmission::refuseUnproven(const AdmittedRequest &request, const std::string &workspace)
 {
     ++m_counters.unproven;
-    log.info("configuration may be outdated id=" + request.metadata.requestId + " workspace="
-             + workspace + m_hooks.describeProof());
+    log.info("configuration may be outdated id=" + request.metadata.requestId
+             + " workspace=" + workspace + m_hooks.describeProof());
     request.call.respond(
         errorResponseFor(ResultCode::HostBehind, {},
                          policy::forward::retryDelay(core::Duration{0}, m_hooks.random())));
--- a/packages/policy/access/configuration_proof.cpp
+++ b/packages/policy/access/configuration_proof.cpp
@@ -20,12 +20,14 @@
 constexpr double timerShare = 14.0 / 15;
 constexpr double staleShare = 0.5;
 // Range of the random delay, as a fraction of the revocation time, after which a host with an old
-// proof reads. Meanwhile the read of another host may reach it.
-constexpr double spreadShare = 0.15;
+// proof reads. In its first part the replies to one or two probes may make the read needless.
+constexpr double spreadShare = 0.2;
+constexpr double minSpreadPart = 0.25;
 // The same before the first proof: the first probes to other hosts are answered in this time.
 constexpr core::Millis firstSpread{300};
+// The store answers within 240 ms. With this time-out a second read still comes in time.
 constexpr core::Millis maxTimeout{1000};
-constexpr double timeoutShare = 0.2;
+constexpr double timeoutShare = 0.12;
 // The delay after a failed read doubles from the first to the second value.
 constexpr core::Millis initialBackoff{150};
 constexpr core::Millis maxBackoff{1500};
@@ -33,8 +35,8 @@
 
 Age fraction(core::Millis whole, double share)
 {
-    return std::chrono::duration_cast<Age>(std::chrono::duration<double, std::milli>(
-        share * static_cast<double>(whole.count())));
+    return std::chrono::duration_cast<Age>(
+        std::chrono::duration<double, std::milli>(share * static_cast<double>(whole.count())));
 }
 
 } // namespace
@@ -102,11 +104,10 @@
       m_period(fraction(core::Millis(1),
                         timerShare
                             * std::min(static_cast<double>(maxReadPeriod.count()),
-                                       readPeriodShare
-                                           * static_cast<double>(revokeTime.count())))),
+                                       readPeriodShare * static_cast<double>(revokeTime.count())))),
       m_staleAge(fraction(revokeTime, staleShare)), m_spread(fraction(revokeTime, spreadShare)),
-      m_timeout(std::min(
-          maxTimeout, std::chrono::ceil<core::Millis>(fraction(revokeTime, timeoutShare))))
+      m_timeout(
+          std::min(maxTimeout, std::chrono::ceil<core::Millis>(fraction(revokeTime, timeoutShare))))
 { }
 
 bool ProofReadSchedule::isDue(bool regular, std::optional<Age> age, BootTimePoint now)
@@ -122,7 +123,8 @@
         return false;
     if (!m_staleReadAt) {
         const Age range = age ? m_spread : std::min<Age>(m_spread, firstSpread);
-        m_staleReadAt = now + std::chrono::duration_cast<Age>(random() * range);
+        const double part = age ? minSpreadPart + (1 - minSpreadPart) * random() : random();
+        m_staleReadAt = now + std::chrono::duration_cast<Age>(part * range);
     }
     return now >= *m_staleReadAt;
 }
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -50,7 +50,9 @@
 
 RoutedCluster::RoutedCluster(
     int hosts, int zoneCount,
-    std::function<std::string(std::size_t host, const std::string &store)> storeAddress)
+    std::function<std::string(std::size_t host, const std::string &store)> storeAddress,
+    std::string moreSettings)
+    : m_moreSettings(std::move(moreSettings))
 {
     m_platform = std::make_unique<Process>(
         std::vector<std::string>{programPath("tests/standins"), "--platform"});
@@ -99,7 +101,7 @@
         + host.control + "\"\ndirectory = \"" + host.directory + "\"\nreadiness = \""
         + host.readiness + "\"\npeers = \"" + host.peers + "\"\nmetrics = \"" + host.metrics
         + "\"\nrelay = \"" + host.relay + "\"\n[platform]\naddress = \"" + storeAddress
-        + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n";
+        + "\"\n[forward]\ncaller_transit_ms = 2\ngrace_s = 5\n" + m_moreSettings;
 }
 
 void RoutedCluster::start(std::size_t n)
@@ -126,13 +128,15 @@
 
 TransferResult RoutedCluster::sendRequest(std::size_t n, const std::string &path,
                                           const std::string &id, const std::string &method,
-                                          const std::string &body, int callerTimeoutMs) const
+                                          const std::string &body, int callerTimeoutMs,
+                                          const std::vector<std::string> &headers) const
 {
     Transfer transfer;
     transfer.method = method;
     transfer.url = "http://" + m_hosts[n].callers + path;
     transfer.headers = {"Host: shop.example", "X-Request-Id: " + id,
                         "X-Deadline-Ms: " + std::to_string(callerTimeoutMs)};
+    transfer.headers.insert(transfer.headers.end(), headers.begin(), headers.end());
     if (!body.empty())
         transfer.body = std::make_shared<const std::string>(body);
     transfer.timeout = std::chrono::milliseconds(callerTimeoutMs + 1000);
@@ -211,4 +215,9 @@
     return parsed(get(m_farmAddress + "/admin/runs"));
 }
 
+json RoutedCluster::headersSeen() const
+{
+    return parsed(get(m_farmAddress + "/admin/headers"));
+}
+
 } // namespace harness
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -30,10 +30,11 @@
     // Starts all processes, with the hosts in up to three zones, and waits until every host is
     // ready and knows all others. Throws std::runtime_error if one does not.
     // `storeAddress` returns the address at which a host reaches the platform's store; by default
-    // the store's own.
+    // the store's own. `moreSettings`: further sections of the hosts' settings.
     explicit RoutedCluster(
         int hosts = 3, int zoneCount = 3,
-        std::function<std::string(std::size_t host, const std::string &store)> storeAddress = {});
+        std::function<std::string(std::size_t host, const std::string &store)> storeAddress = {},
+        std::string moreSettings = {});
 
     // Returns a configuration with this version and four routes: "/all/" fans out to three shards,
     // "/one/" is an idempotent and "/claim/" a non-idempotent route to one service, and "/split/"
@@ -50,7 +51,8 @@
     // caller waits, sent as X-Deadline-Ms.
     TransferResult sendRequest(std::size_t n, const std::string &path, const std::string &id,
                                const std::string &method = "GET", const std::string &body = {},
-                               int callerTimeoutMs = 2000) const;
+                               int callerTimeoutMs = 2000,
+                               const std::vector<std::string> &headers = {}) const;
 
     // Returns the caller addresses that the directory of host `n` lists for its own zone.
     std::vector<std::string> resolve(std::size_t n) const;
@@ -77,6 +79,8 @@
     json platformCounters() const;
     // Returns how often each server executed requests, in total and by request id.
     json runs() const;
+    // Returns the headers, each as "Name: value", that a server saw of each request, by its id.
+    json headersSeen() const;
 
     RoutedHost &host(std::size_t n) { return m_hosts[n]; }
     const RoutedHost &host(std::size_t n) const { return m_hosts[n]; }
@@ -87,6 +91,7 @@
 
     std::unique_ptr<Process> m_platform;
     std::unique_ptr<Process> m_farm;
+    std::string m_moreSettings;
     std::string m_platformAddress;
     std::string m_farmAddress;
     std::vector<RoutedHost> m_hosts;
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -158,6 +158,10 @@
                                                BackendPtr backend)
 {
     const auto id = headerOf(request, "X-Request-Id");
+    auto &headers = backend->headersById[id];
+    headers.clear();
+    for (const auto &it : request)
+        headers.push_back(std::string(it.name_string()) + ": " + std::string(it.value()));
     Response response;
     if (headerOf(request, "X-Expected-Instance") != backend->id) {
         response = makeResponse(421, "");
@@ -217,6 +221,12 @@
                            {"ids", it->executionsById}};
         co_return makeResponse(200, out.dump());
     }
+    if (request.target() == "/admin/headers") {
+        json out = json::object();
+        for (const auto &it : m_backends)
+            out.update(it->headersById);
+        co_return makeResponse(200, out.dump());
+    }
     const auto body = json::parse(request.body(), nullptr, false);
     if (body.is_discarded())
         co_return makeResponse(400);
--- a/tests/standins/backend_farm.h
+++ b/tests/standins/backend_farm.h
@@ -57,6 +57,8 @@
         // Requests whose execution has begun.
         int executions = 0;
         std::map<std::string, int> executionsById;
+        // Headers of the last request by its id, each as "Name: value".
+        std::map<std::string, std::vector<std::string>> headersById;
         std::shared_ptr<asio::ip::tcp::acceptor> acceptor;
     };
     using BackendPtr = std::shared_ptr<Backend>;
--- /dev/null
+++ b/tests/unit/access_test.cpp
@@ -0,0 +1,349 @@
+#include "daemon/forward/request_admission.h"
+#include "platform/http_messages.h"
+#include "platform/records.h"
+#include "platform/store.h"
+#include "policy/access/key_table.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace goldcrestline;
+using namespace std::chrono_literals;
+using daemon::forward::AdmittedRequest;
+using daemon::forward::QuotaDecision;
+using daemon::forward::RequestAdmission;
+using nlohmann::json;
+using policy::access::digestOf;
+using policy::access::KeyTable;
+using policy::access::WorkspaceKeys;
+
+namespace {
+
+json makeSpec(const json &workspaces)
+{
+    auto spec = json::parse(R"({"version":7,"routes":[
+        {"name":"plain","host":"a.example","path_prefix":"/","route_type":"idempotent",
+         "timeout_ms":4000,"target_latency_ms":300,"priority":3,"max_attempts":2,"service":"s1"},
+        {"name":"open","host":"a.example","path_prefix":"/open/","route_type":"idempotent",
+         "timeout_ms":4000,"target_latency_ms":300,"priority":3,"max_attempts":2,"service":"s1",
+         "anonymous":true}],
+        "services":[{"name":"s1","health_path":"/health","max_connections":26}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
+                  "idle_timeout_ms":15000}})");
+    spec["tenants"] = workspaces;
+    return spec;
+}
+
+json twoWorkspaces()
+{
+    return json::parse(R"([{"name":"one","api_keys":["key-1","key-2"],"priority":0},
+                           {"name":"two","api_keys":["key-3"],"rate_per_s":5,"burst":9}])");
+}
+
+WorkspaceKeys keysOf(const std::string &name, const std::vector<std::string> &keys)
+{
+    WorkspaceKeys out;
+    out.workspace.name = name;
+    for (const auto &it : keys)
+        out.digests.push_back(digestOf(it));
+    return out;
+}
+
+std::string keyIn(ports::Headers headers)
+{
+    ports::IncomingRequest request;
+    request.headers = std::move(headers);
+    return platform::readKey(request);
+}
+
+std::vector<std::string> valuesOf(const ports::Headers &headers, const std::string &name)
+{
+    std::vector<std::string> out;
+    for (const auto &it : headers) {
+        if (boost::beast::iequals(it.name, name))
+            out.push_back(it.value);
+    }
+    return out;
+}
+
+// The admission with a configuration, and what it decided on the requests.
+struct AdmissionFixture
+{
+    bool proven = true;
+    std::vector<AdmittedRequest> forwarded;
+    std::vector<ports::OutgoingResponse> responses;
+    std::vector<std::string> returned;
+    std::vector<RequestAdmission::QuotaHandler> quotaCalls;
+    RequestAdmission admission;
+    std::uint64_t lastId = 0;
+
+    AdmissionFixture() : admission(hooks()) { }
+
+    RequestAdmission::Hooks hooks()
+    {
+        RequestAdmission::Hooks out;
+        out.random = [] { return 0.5; };
+        out.configurationProven = [this] { return proven; };
+        out.describeProof = [] { return std::string(" version=7 age_ms=1"); };
+        out.admitQuota = [this](const policy::access::Workspace &, core::TimePoint,
+                                RequestAdmission::QuotaHandler decide) {
+            quotaCalls.push_back(std::move(decide));
+        };
+        out.returnQuota = [this](const std::string &workspace, core::TimePoint) {
+            returned.push_back(workspace);
+        };
+        out.forward = [this](AdmittedRequest request, core::TimePoint) {
+            forwarded.push_back(std::move(request));
+        };
+        return out;
+    }
+
+    void configure(const json &workspaces)
+    {
+        auto table = platform::decodeConfig(makeSpec(workspaces));
+        REQUIRE(table.has_value());
+        admission.setRoutes(table.value());
+    }
+
+    std::uint64_t send(const std::string &path, ports::Headers headers)
+    {
+        adapters::loop::HttpCall call;
+        call.id = ++lastId;
+        call.request.method = "GET";
+        call.request.target = path;
+        call.request.headers = std::move(headers);
+        call.request.headers.push_back({"Host", "a.example"});
+        call.respond = [this](ports::OutgoingResponse it) { responses.push_back(std::move(it)); };
+        admission.handle(std::move(call), core::TimePoint{} + 1h);
+        return lastId;
+    }
+
+    // Status and result code of the last response.
+    void checkRefused(int status, int code) const
+    {
+        REQUIRE_FALSE(responses.empty());
+        CHECK(responses.back().status == status);
+        CHECK(json::parse(responses.back().body).dump().find(std::to_string(code))
+              != std::string::npos);
+    }
+};
+
+} // namespace
+
+TEST_CASE("the key table finds each workspace by its keys and rejects duplicates", "[access]")
+{
+    const auto table = KeyTable::make({keysOf("one", {"a", "b"}), keysOf("two", {"c"})});
+    REQUIRE(table.has_value());
+    CHECK(table.value()->findByDigest(digestOf("b"))->name == "one");
+    CHECK(table.value()->findByDigest(digestOf("c"))->name == "two");
+    CHECK(table.value()->find("two")->name == "two");
+    // A key is not its own digest.
+    CHECK(table.value()->findByDigest("b") == nullptr);
+    CHECK(table.value()->findByDigest(digestOf("d")) == nullptr);
+    CHECK(table.value()->findByDigest("") == nullptr);
+    for (const auto &it : {KeyTable::make({keysOf("one", {"a", "a"})}),
+                           KeyTable::make({keysOf("one", {"a"}), keysOf("two", {"a"})}),
+                           KeyTable::make({keysOf("one", {"a"}), keysOf("one", {"b"})})}) {
+        REQUIRE_FALSE(it.has_value());
+        CHECK(it.error().code == core::ResultCode::PlatformObject);
+    }
+}
+
+// Guards against a part of a configuration that comes into force although it has faults.
+TEST_CASE("a configuration with a faulty workspace is rejected as a whole", "[access]")
+{
+    CHECK(platform::decodeConfig(makeSpec(twoWorkspaces())).has_value());
+    const std::string longKey(policy::access::maxKeyBytes + 1, 'k');
+    const std::vector<std::pair<const char *, json>> faults{{"api_keys", {"key-1", "key-1"}},
+                                                            {"api_keys", {"key-3"}},
+                                                            {"api_keys", {"has blank"}},
+                                                            {"api_keys", {""}},
+                                                            {"api_keys", {longKey}},
+                                                            {"api_keys", {"k\n"}},
+                                                            {"api_keys", {"k\xc3\xa9"}},
+                                                            {"api_keys", {1}},
+                                                            {"api_keys", "key-9"},
+                                                            {"api_keys", json()},
+                                                            {"name", ""},
+                                                            {"name", "two"},
+                                                            {"name", "a\r\nX: y"},
+                                                            {"name", 7},
+                                                            {"priority", "high"},
+                                                            {"rate_per_s", "5"},
+                                                            {"rate_per_s", -1},
+                                                            {"burst", json::array()},
+                                                            {"allowed_regions", "r"},
+                                                            {"allowed_regions", {2}}};
+    for (const auto &[field, value] : faults) {
+        auto workspaces = twoWorkspaces();
+        workspaces[0][field] = value;
+        CAPTURE(field, value.dump());
+        const auto decoded = platform::decodeConfig(makeSpec(workspaces));
+        REQUIRE_FALSE(decoded.has_value());
+        CHECK(decoded.error().code == core::ResultCode::PlatformObject);
+        // Errors are logged, and keys must not be.
+        CHECK(decoded.error().text().find("key-") == std::string::npos);
+        CHECK(decoded.error().text().find("has blank") == std::string::npos);
+    }
+    auto workspaces = twoWorkspaces();
+    workspaces[0].erase("name");
+    CHECK_FALSE(platform::decodeConfig(makeSpec(workspaces)).has_value());
+    for (const auto &it : {json(), json::object(), json("x"), json(3), json::parse("[3]")})
+        CHECK_FALSE(platform::decodeConfig(makeSpec(it)).has_value());
+    auto spec = makeSpec(twoWorkspaces());
+    spec["routes"][0]["anonymous"] = "yes";
+    CHECK_FALSE(platform::decodeConfig(spec).has_value());
+    workspaces = twoWorkspaces();
+    workspaces[0]["api_keys"][0] = std::string(policy::access::maxKeyBytes, 'k');
+    CHECK(platform::decodeConfig(makeSpec(workspaces)).has_value());
+}
+
+// Guards against keys in the copies that hosts send each other, and against copies that other hosts
+// reject: a workspace without keys had the digests null.
+TEST_CASE("copies for other hosts hold digests in place of keys", "[access]")
+{
+    auto workspaces = twoWorkspaces();
+    workspaces.push_back({{"name", "none"}, {"api_keys", json::array()}});
+    workspaces.push_back({{"name", "missing"}});
+    const auto spec = makeSpec(workspaces);
+    const auto copy = platform::withKeyDigests(spec);
+    for (const char *it : {"key-1", "key-2", "key-3", "api_keys"})
+        CHECK(copy.dump().find(it) == std::string::npos);
+    CHECK(platform::withKeyDigests(copy) == copy);
+    const auto decoded = platform::decodeConfig(copy);
+    REQUIRE(decoded.has_value());
+    const auto &table = *decoded.value()->workspaces();
+    CHECK(table.findByDigest(digestOf("key-2"))->name == "one");
+    CHECK(table.findByDigest(digestOf("key-3"))->requestsPerSecond == 5);
+    CHECK(table.find("none") != nullptr);
+    const auto without = json::parse(R"({"version":1})");
+    CHECK(platform::withKeyDigests(without) == without);
+}
+
+// Guards against keys in the log: the parser's messages quote the text at which it stopped.
+TEST_CASE("the detail of an unreadable answer does not quote it", "[access]")
+{
+    ports::ExchangeResult result;
+    result.outcome = ports::ExchangeOutcome::Answered;
+    result.status = 200;
+    result.body = R"({"spec":{"tenants":[{"api_keys":["secret-key)";
+    const auto reply = platform::readReply(result);
+    CHECK(reply.outcome == platform::StoreOutcome::Unknown);
+    CHECK(reply.detail.find("secret") == std::string::npos);
+}
+
+TEST_CASE("the key is read from the Authorization header with scheme Token", "[access]")
+{
+    CHECK(keyIn({{"Authorization", "Token key-1"}}) == "key-1");
+    CHECK(keyIn({{"aUTHORIZATION", "tOKEN key-1"}}) == "key-1");
+    CHECK(keyIn({{"Authorization", "Token   key-1  "}}) == "key-1");
+    CHECK(keyIn({}).empty());
+    for (const char *it : {"", "Token", "Token ", "Token    ", "key-1", "Bearer key-1",
+                           "Tokenkey-1", "Basic Token key-1", " "})
+        CHECK(keyIn({{"Authorization", it}}).empty());
+    // What is not a key as a whole is not one.
+    CHECK(keyIn({{"Authorization", "Token key-1 key-2"}}) == "key-1 key-2");
+}
+
+// Guards against callers that name the workspace of others, or hide their own.
+TEST_CASE("servers see one X-Tenant header, set by the host, and no key", "[access]")
+{
+    ports::IncomingRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.headers = {{"X-Tenant", "other"},
+                       {"x-tenant", "third"},
+                       {"X-TENANT", ""},
+                       {"authorization", "Token key-1"},
+                       {"AUTHORIZATION", "Basic x"},
+                       {"Accept", "*/*"},
+                       {"Connection", "x-tenant, close"}};
+    platform::setWorkspace(request, "one");
+    CHECK(valuesOf(request.headers, "X-Tenant") == std::vector<std::string>{"one"});
+    CHECK(valuesOf(request.headers, "Authorization").empty());
+    CHECK(valuesOf(request.headers, "Accept").size() == 1);
+    CHECK(platform::sharedHead(request).find("X-Tenant: one\r\n") != std::string::npos);
+    platform::setWorkspace(request, "");
+    CHECK(valuesOf(request.headers, "X-Tenant").empty());
+}
+
+TEST_CASE("requests need a key where the configuration has workspaces", "[access]")
+{
+    AdmissionFixture it;
+    it.send("/x", {{"Authorization", "Token key-1"}});
+    CHECK(it.responses.back().status == 503);
+    it.configure(twoWorkspaces());
+    it.send("/x", {{"Authorization", "Token key-1"}, {"X-Tenant", "two"}});
+    REQUIRE(it.forwarded.size() == 1);
+    CHECK(it.forwarded[0].workspace == "one");
+    CHECK(it.forwarded[0].priority == 0);
+    const auto &headers = it.forwarded[0].call.request.headers;
+    CHECK(valuesOf(headers, "X-Tenant") == std::vector<std::string>{"one"});
+    CHECK(valuesOf(headers, "Authorization").empty());
+    for (const char *value : {"Token key-4", "Token KEY-1", "Bearer key-1", "Token"}) {
+        it.send("/x", {{"Authorization", value}});
+        it.checkRefused(401, 2050);
+    }
+    it.send("/x", {});
+    it.checkRefused(401, 2050);
+    it.send("/x", {{"Authorization", "Token " + std::string(5000, 'k')}});
+    it.checkRefused(401, 2050);
+    CHECK(it.admission.counters().unknownKey == 6);
+    CHECK(it.forwarded.size() == 1);
+    it.send("/open/x", {{"X-Tenant", "two"}});
+    it.send("/open/x", {{"Authorization", "Token nonsense"}});
+    REQUIRE(it.forwarded.size() == 3);
+    for (std::size_t i = 1; i < 3; ++i) {
+        CHECK(it.forwarded[i].workspace.empty());
+        CHECK(it.forwarded[i].priority == 3);
+        CHECK(valuesOf(it.forwarded[i].call.request.headers, "X-Tenant").empty());
+        CHECK(valuesOf(it.forwarded[i].call.request.headers, "Authorization").empty());
+    }
+}
+
+// Guards against the use of a key that may have been revoked, and against a 401 for a key that may
+// have been added.
+TEST_CASE("a host that cannot prove its configuration refuses only requests with a key", "[access]")
+{
+    AdmissionFixture it;
+    it.configure(twoWorkspaces());
+    it.proven = false;
+    for (const char *key : {"Token key-1", "Token key-3", "Token key-new"}) {
+        it.send("/x", {{"Authorization", key}});
+        it.checkRefused(503, 2023);
+        CHECK(valuesOf(it.responses.back().headers, "Retry-After").size() == 1);
+    }
+    // No token of a quota is taken for a refused request.
+    CHECK(it.quotaCalls.empty());
+    it.send("/x", {});
+    it.checkRefused(401, 2050);
+    CHECK(it.forwarded.empty());
+    it.send("/open/x", {});
+    CHECK(it.forwarded.size() == 1);
+    CHECK_FALSE(it.admission.accessAllowed(digestOf("key-1")));
+    it.proven = true;
+    CHECK(it.admission.accessAllowed(digestOf("key-1")));
+    CHECK_FALSE(it.admission.accessAllowed(digestOf("key-new")));
+}
+
+// Guards against lost tokens and requests that are forwarded for a caller that has left.
+TEST_CASE("a request that waits for its quota is dropped when its caller disconnects", "[access]")
+{
+    AdmissionFixture it;
+    it.configure(twoWorkspaces());
+    const auto first = it.send("/x", {{"Authorization", "Token key-3"}});
+    it.send("/x", {{"Authorization", "Token key-3"}});
+    const auto third = it.send("/x", {{"Authorization", "Token key-3"}});
+    REQUIRE(it.quotaCalls.size() == 3);
+    CHECK(it.admission.onCallerDisconnect(first));
+    CHECK_FALSE(it.admission.onCallerDisconnect(first));
+    it.quotaCalls[0](QuotaDecision{}, core::TimePoint{} + 1h);
+    CHECK(it.returned == std::vector<std::string>{"two"});
+    CHECK(it.forwarded.empty());
+    it.quotaCalls[1](QuotaDecision{}, core::TimePoint{} + 1h);
+    CHECK(it.forwarded.size() == 1);
+    it.quotaCalls[2](QuotaDecision{false, 900ms}, core::TimePoint{} + 1h);
+    it.checkRefused(429, 2051);
+    CHECK_FALSE(it.admission.onCallerDisconnect(third));
+    CHECK(it.returned.size() == 1);
+}
