--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -132,8 +132,10 @@
         log.error("configuration refused from=read: " + table.error().text());
         return std::nullopt;
     }
-    if (table.value()->version() > version())
+    if (table.value()->version() > version()) {
         applyConfig(object.spec, "read");
+        return m_configuration;
+    }
     if (table.value()->version() < version())
         return policy::access::ConfigurationId{table.value()->version(), 0};
     return policy::access::ConfigurationId{
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -1,3 +1,4 @@
+#include "access.h"
 #include "cluster.h"
 #include "sizes.h"
 
@@ -414,6 +415,7 @@
         {"join", benchJoin},
         {"control", benchControlPlane},
         {"sizes", printSizes},
+        {"access", printAccess},
     };
     const std::vector<std::string> wanted(argv + 1, argv + argc);
     for (const auto &[name, run] : parts) {
--- a/tests/unit/access_test.cpp
+++ b/tests/unit/access_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/records.h"
 #include "platform/store.h"
 #include "policy/access/key_table.h"
+#include "policy/entrypoints/entry_points.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -347,3 +348,23 @@
     CHECK_FALSE(it.admission.onCallerDisconnect(third));
     CHECK(it.returned.size() == 1);
 }
+
+// Guards against callers who are sent to a host that refuses their requests while others serve
+// them.
+TEST_CASE("hosts without a proof are no entry points unless all lack one", "[access][entrypoints]")
+{
+    std::vector<policy::membership::Member> members(4);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i].name = "h" + std::to_string(i);
+        members[i].unproven = i < 2;
+    }
+    const auto eligible = policy::entrypoints::eligibleHosts(members);
+    REQUIRE(eligible.size() == 2);
+    CHECK(eligible[0].name == "h2");
+    members[2].unproven = members[3].unproven = true;
+    CHECK(policy::entrypoints::eligibleHosts(members).size() == 4);
+    // A host that reaches no server is worse than one that refuses requests with a key.
+    members[3].cutOff = true;
+    members[3].unproven = false;
+    CHECK(policy::entrypoints::eligibleHosts(members).size() == 3);
+}
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -33,6 +33,10 @@
     gossip.wanted = {7};
     gossip.listsVersion = {3, 9};
     gossip.storeEra = 4;
+    gossip.members[1].unproven = true;
+    gossip.proofAge = core::Millis(0);
+    gossip.proofVersion = 8;
+    gossip.proofDigest = 99;
     gossip.leavingServers = {{"server", 5}};
     gossip.requestsPerSecond = 12.5F;
     const auto decoded = decode(encode(11, ports::PeerRequest(gossip)));
@@ -46,6 +50,11 @@
     CHECK(copy.wanted == gossip.wanted);
     CHECK(copy.listsVersion == gossip.listsVersion);
     CHECK(copy.storeEra == 4);
+    CHECK_FALSE(copy.members[0].unproven);
+    CHECK(copy.members[1].unproven);
+    CHECK(copy.proofAge == core::Millis(0));
+    CHECK(copy.proofVersion == 8);
+    CHECK(copy.proofDigest == 99);
     CHECK(copy.requestsPerSecond == 12.5F);
     CHECK(copy.leavingServers.at(0).serverId == "server");
     ports::CopyResponse response;
--- a/tests/unit/configuration_proof_test.cpp
+++ b/tests/unit/configuration_proof_test.cpp
@@ -104,8 +104,8 @@
         stored = {{stored.id.version + 1, ++digests}, hasKey};
         written.push_back(stored);
         for (auto &it : hosts) {
-            // A watch may be late or lost.
-            if (it.reachesStore && storeUp && !lost())
+            // Some hosts watch, and a watch may be late or lost.
+            if (it.selected && it.reachesStore && storeUp && !lost())
                 at(later(1000ms), [this, &it, copy = stored, of = era] {
                     if (of == era && now >= it.suspendedUntil)
                         apply(it, copy);
@@ -276,10 +276,14 @@
     for (const auto &host : it.hosts)
         before += host.readsStarted;
     Age oldest{0};
-    it.run(120s, [&](const SimulatedHost &host) {
-        REQUIRE(host.proof.isFresh(it.now));
-        oldest = std::max(oldest, *host.proof.age(it.now));
-    });
+    // The configuration changes every 5 s.
+    for (int i = 0; i < 24; ++i) {
+        it.write(true);
+        it.run(5s, [&](const SimulatedHost &host) {
+            REQUIRE(host.proof.isFresh(it.now));
+            oldest = std::max(oldest, *host.proof.age(it.now));
+        });
+    }
     std::uint64_t reads = 0;
     for (const auto &host : it.hosts)
         reads += host.readsStarted;
