--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -128,13 +128,15 @@
 
 TransferResult RoutedCluster::sendRequest(std::size_t n, const std::string &path,
                                           const std::string &id, const std::string &method,
-                                          const std::string &body, int callerTimeoutMs) const
+                                          const std::string &body, int callerTimeoutMs,
+                                          const std::vector<std::string> &headers) const
 {
     Transfer transfer;
     transfer.method = method;
     transfer.url = "http://" + m_hosts[n].callers + path;
     transfer.headers = {"Host: shop.example", "X-Request-Id: " + id,
                         "X-Deadline-Ms: " + std::to_string(callerTimeoutMs)};
+    transfer.headers.insert(transfer.headers.end(), headers.begin(), headers.end());
     if (!body.empty())
         transfer.body = std::make_shared<const std::string>(body);
     transfer.timeout = std::chrono::milliseconds(callerTimeoutMs + 1000);
@@ -221,4 +223,9 @@
     return parsed(get(m_farmAddress + "/admin/runs"));
 }
 
+json RoutedCluster::headersSeen() const
+{
+    return parsed(get(m_farmAddress + "/admin/headers"));
+}
+
 } // namespace harness
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -51,7 +51,8 @@
     // caller waits, sent as X-Deadline-Ms.
     TransferResult sendRequest(std::size_t n, const std::string &path, const std::string &id,
                                const std::string &method = "GET", const std::string &body = {},
-                               int callerTimeoutMs = 2000) const;
+                               int callerTimeoutMs = 2000,
+                               const std::vector<std::string> &headers = {}) const;
 
     // Returns the caller addresses that the directory of host `n` lists for its own zone.
     std::vector<std::string> resolve(std::size_t n) const;
@@ -80,6 +81,8 @@
     json platformCounters() const;
     // Returns how often each server executed requests, in total and by request id.
     json runs() const;
+    // Returns the headers, each as "Name: value", that a server saw of each request, by its id.
+    json headersSeen() const;
 
     RoutedHost &host(std::size_t n) { return m_hosts[n]; }
     const RoutedHost &host(std::size_t n) const { return m_hosts[n]; }
