Size the first tokens of a lender by the permitted excess

A start of all hosts refused requests of workspaces with larger rates: tokens held ahead of requests emptied the first bucket, and 5 tokens were too few for clumps.

--- a/packages/daemon/forward/workspace_quota.cpp
+++ b/packages/daemon/forward/workspace_quota.cpp
@@ -44,9 +44,9 @@
 constexpr core::Duration pauseThreshold = std::chrono::milliseconds(600);
 // Copies of a datagram arrive within this time.
 constexpr core::Duration duplicatePeriod = std::chrono::seconds(5);
-// The initial tokens of a new lender, as a part of the slack. Within one window the lender may
-// change more than once, and the deputy may lend too.
-constexpr double initialPartOfSlack = 0.25;
+// The initial tokens of a new lender, as a part of the requests by which a quota may be exceeded.
+// Within one window the lender may change twice, and the deputy may lend too.
+constexpr double initialPart = 0.35;
 // Part of its share of the rate that a host uses while neither the lender nor the deputy responds:
 // they may still lend to others.
 constexpr double ownShareFraction = 0.25;
@@ -79,6 +79,7 @@
 WorkspaceQuota::parametersOf(const adapters::settings::Settings &settings)
 {
     return {settings.host.name.value, static_cast<std::size_t>(settings.peers.hostsAtMost.value),
+            settings.quota.windowS.value, settings.quota.overshoot.value,
             settings.quota.slack.value};
 }
 
@@ -134,7 +135,7 @@
 {
     const auto gap = now - std::exchange(m_activeAt, std::max(now, m_activeAt));
     if (gap > pauseThreshold)
-        m_lender.restart(initialPartOfSlack * m_parameters.slack, now);
+        m_lender.restart(now);
 }
 
 WorkspaceQuota::State &WorkspaceQuota::stateOf(const Workspace &workspace, TimePoint now)
@@ -160,9 +161,11 @@
 QuotaLoan WorkspaceQuota::lendHere(const std::string &name, const State &state, std::size_t rank,
                                    int wanted, int returned, TimePoint now)
 {
+    const double quota = state.ratePerSecond * m_parameters.windowSeconds + state.burst;
+    const double permittedExcess = m_parameters.slack + m_parameters.overshoot * quota;
     const policy::limits::QuotaTerms terms{state.ratePerSecond, state.burst,
-                                           initialPartOfSlack * m_parameters.slack,
-                                           m_view.visibleShare(), rank};
+                                           initialPart * permittedExcess, m_view.visibleShare(),
+                                           rank};
     return m_lender.lendQuota(name, terms, wanted, returned, now);
 }
 
--- a/packages/daemon/forward/workspace_quota.h
+++ b/packages/daemon/forward/workspace_quota.h
@@ -30,7 +30,10 @@
         std::string self;
         // Number of hosts to assume while the others are not known yet, after the start.
         std::size_t expectedHosts = 1;
-        // Requests by which the hosts together may exceed a quota.
+        // Tolerances within which the hosts together keep a quota, in any window of this length: as
+        // a fraction of it, and in requests.
+        double windowSeconds = 5;
+        double overshoot = 0.1;
         double slack = 20;
     };
     struct Hooks
--- a/packages/policy/limits/lending.cpp
+++ b/packages/policy/limits/lending.cpp
@@ -22,8 +22,6 @@
 // Bounds of the time for which requests are refused without another request to the lender.
 constexpr core::Duration minExhaustedPeriod = std::chrono::milliseconds(5);
 constexpr core::Duration maxExhaustedPeriod = std::chrono::seconds(1);
-// Time without requests ahead after the lender was exhausted: other hosts need its tokens more.
-constexpr core::Duration nothingAheadPeriod = std::chrono::seconds(1);
 // Fraction of a burst that one host may hold ahead of its requests.
 constexpr double maxAheadOfBurst = 0.25;
 // Upper bound on the tokens that one host returns at once.
@@ -71,14 +69,16 @@
     const double initial = std::min(fullBurst, terms.initialTokens);
     auto it = m_quotas.find(workspace);
     if (it == m_quotas.end()) {
-        const QuotaBucket bucket{TokenBucket(0, fullBurst, 0, now), 0};
+        const QuotaBucket bucket{TokenBucket(0, fullBurst, 0, now), 0, 0};
         it = m_quotas.emplace(workspace, bucket).first;
     }
     auto &bucket = it->second;
+    bucket.initialTokens = initial;
     double share = terms.visibleShare;
     if (terms.rank != 0)
         share *= terms.rank == 1 ? deputyShare : otherLenderShare;
-    bucket.tokens.setRate(terms.ratePerSecond * share, terms.rank == 0 ? fullBurst : initial, now);
+    bucket.tokens.setRate(terms.ratePerSecond * share,
+                          terms.rank == 0 ? fullBurst : std::max(1.0, initial / 2), now);
     // Several hosts may take themselves for the lender while hosts that started together learn of
     // each other. Each gets the part of the initial tokens that belongs to the hosts it sees.
     if (terms.visibleShare > bucket.initialShare) {
@@ -94,11 +94,10 @@
     return loan;
 }
 
-void Lender::restart(double initialTokens, TimePoint now)
+void Lender::restart(TimePoint now)
 {
-    for (auto &it : m_quotas) {
-        it.second.tokens.discardAbove(initialTokens * it.second.initialShare, now);
-    }
+    for (auto &it : m_quotas)
+        it.second.tokens.discardAbove(it.second.initialTokens * it.second.initialShare, now);
 }
 
 void Lender::forgetUnknown(const std::function<bool(const std::string &)> &known)
@@ -216,7 +215,7 @@
     if (!m_lenderExhausted)
         return;
     m_refuseUntil = now + std::clamp(loan.wait, minExhaustedPeriod, maxExhaustedPeriod);
-    m_nothingAheadUntil = now + nothingAheadPeriod;
+    m_nothingAheadUntil = now + m_times.nothingAheadPeriod;
 }
 
 void Borrower::addTokens(int tokens, TimePoint expiresAt)
--- a/packages/policy/limits/lending.h
+++ b/packages/policy/limits/lending.h
@@ -29,6 +29,9 @@
     core::Duration lenderTimeout = std::chrono::milliseconds(100);
     // Shortest period over which the rate of demand is measured.
     core::Duration demandWindow = std::chrono::milliseconds(200);
+    // Time without requests ahead of demand after the start, and after the lender was exhausted:
+    // its bucket is not full and other hosts need its tokens more.
+    core::Duration nothingAheadPeriod = std::chrono::seconds(2);
 };
 
 // Timings of the workspaces' quotas.
@@ -72,8 +75,8 @@
                         int returned, core::TimePoint now);
 
     // Treats the buckets of all workspaces as new ones, after a time in which other hosts may have
-    // lent in place of this one. `initialTokens`: as in the terms.
-    void restart(double initialTokens, core::TimePoint now);
+    // lent in place of this one.
+    void restart(core::TimePoint now);
 
     // Drops the buckets of the workspaces for which `known` returns false.
     void forgetUnknown(const std::function<bool(const std::string &)> &known);
@@ -82,6 +85,7 @@
     struct QuotaBucket
     {
         TokenBucket tokens;
+        double initialTokens = 0;
         // Largest visible share for which initial tokens were added.
         double initialShare = 0;
     };
@@ -104,7 +108,7 @@
 {
 public:
     explicit Borrower(LendingTimings times, core::TimePoint now)
-        : m_times(times), m_windowStart(now)
+        : m_times(times), m_windowStart(now), m_nothingAheadUntil(now + times.nothingAheadPeriod)
     { }
 
     // Counts the request as demand and consumes a borrowed token if there is one. On AskLender the
@@ -191,7 +195,7 @@
     // Until then no tokens are requested, since the last loan had none.
     core::TimePoint m_refuseUntil{};
     // Until then no tokens are requested ahead of requests, since the lender was exhausted.
-    core::TimePoint m_nothingAheadUntil{};
+    core::TimePoint m_nothingAheadUntil;
     // Tokens that expired unused and are not returned yet.
     int m_unused = 0;
     // Requests refused in the current period, and its start.
--- a/tests/unit/workspace_quota_test.cpp
+++ b/tests/unit/workspace_quota_test.cpp
@@ -146,7 +146,8 @@
         host.member.incarnation = host.incarnation;
         host.link = std::make_unique<Link>(*this, i);
         host.quota = std::make_unique<WorkspaceQuota>(
-            WorkspaceQuota::Parameters{host.member.name, m_hosts.size(), slack}, *host.link,
+            WorkspaceQuota::Parameters{host.member.name, m_hosts.size(), 5, overshoot, slack},
+            *host.link,
             WorkspaceQuota::Hooks{[this] { return uniform(); }, [this] { return now; }});
         host.quota->setWorkspaces(workspaces(), now);
         for (auto &it : host.views)
@@ -204,6 +205,7 @@
 
     TimePoint now = TimePoint{} + 1h;
     std::uint64_t messages = 0;
+    bool callersSend = true;
     // Share of the admitted requests that servers do not execute, so that their token is returned.
     double notExecuted = 0.05;
 
@@ -374,6 +376,8 @@
             && uniform() < std::chrono::duration<double>(next).count() / meanActiveSeconds)
             next += delay(0.2, 5);
         at(now + next, [this, load] { request(load); });
+        if (!callersSend)
+            return;
         auto &usage = m_usage[load];
         // The callers of a host that does not respond go to the next one.
         std::size_t host = usage.requests % m_loads[load].hosts;
@@ -528,7 +532,11 @@
         fleet.notExecuted = 0;
         // The first seconds after the start, and long enough for the smallest workspace.
         for (const auto length : {core::Duration(4s), core::Duration(300s)}) {
+            fleet.callersSend = true;
             fleet.run(length);
+            // Requests in flight are decided.
+            fleet.callersSend = false;
+            fleet.run(1s);
             for (std::size_t i = 0; i < loads.size(); ++i) {
                 const auto &usage = fleet.usage()[i];
                 INFO(loads[i].workspace.name << " hosts=" << n << " admitted=" << usage.admitted
