Lend less after a pause, and test the quota with processes

The lender that returned after a pause and the host that lent meanwhile could both lend the full rate until the second one saw the first; the sum of the largest terms exceeded the permitted excess. The deputy's share is 0.3, a loan lives 200 ms, and a returned lender lends half of the rate for 1 s.

--- a/packages/daemon/forward/workspace_quota.cpp
+++ b/packages/daemon/forward/workspace_quota.cpp
@@ -133,8 +133,8 @@
 
 void WorkspaceQuota::noteActive(TimePoint now)
 {
-    const auto gap = now - std::exchange(m_activeAt, std::max(now, m_activeAt));
-    if (gap > pauseThreshold)
+    const auto before = std::exchange(m_activeAt, std::max(now, m_activeAt));
+    if (before != TimePoint{} && now - before > pauseThreshold)
         m_lender.restart(now);
 }
 
--- a/packages/policy/limits/lending.cpp
+++ b/packages/policy/limits/lending.cpp
@@ -16,8 +16,13 @@
 
 // Share of the rate that the deputy lends while the lender does not answer it. The lender may still
 // answer others until the hosts have noticed a partition.
-constexpr double deputyShare = 0.4;
-// The same for hosts that are asked only because the views of the members differ.
+constexpr double deputyShare = 0.3;
+// Time after a pause, and share of the rate that a lender lends then: the host that lent meanwhile
+// does so until it sees that this one has returned.
+constexpr core::Duration returnedPeriod = std::chrono::seconds(1);
+constexpr double returnedShare = 0.5;
+// Share of the rate that other hosts lend, which are asked only because the views of the members
+// differ.
 constexpr double otherLenderShare = 0.1;
 // Bounds of the time for which requests are refused without another request to the lender.
 constexpr core::Duration minExhaustedPeriod = std::chrono::milliseconds(5);
@@ -55,8 +60,8 @@
 {
     LendingTimings times;
     // A borrowed token is used up to this long after it was lent, which adds to the requests of a
-    // window: 0.25 s is half of the permitted overshoot.
-    times.loanLifetime = std::chrono::milliseconds(250);
+    // window: 0.2 s of the 0.5 s by which they may exceed the quota.
+    times.loanLifetime = std::chrono::milliseconds(200);
     times.loanCoverage = std::chrono::milliseconds(150);
     times.demandWindow = std::chrono::seconds(1);
     return times;
@@ -75,6 +80,8 @@
     auto &bucket = it->second;
     bucket.initialTokens = initial;
     double share = terms.visibleShare;
+    if (m_restartedAt && now - *m_restartedAt < returnedPeriod)
+        share *= returnedShare;
     if (terms.rank != 0)
         share *= terms.rank == 1 ? deputyShare : otherLenderShare;
     bucket.tokens.setRate(terms.ratePerSecond * share,
@@ -96,8 +103,11 @@
 
 void Lender::restart(TimePoint now)
 {
-    for (auto &it : m_quotas)
-        it.second.tokens.discardAbove(it.second.initialTokens * it.second.initialShare, now);
+    m_restartedAt = now;
+    for (auto &it : m_quotas) {
+        auto &bucket = it.second;
+        bucket.tokens.discardAbove(bucket.initialTokens / 2 * bucket.initialShare, now);
+    }
 }
 
 void Lender::forgetUnknown(const std::function<bool(const std::string &)> &known)
--- a/packages/policy/limits/lending.h
+++ b/packages/policy/limits/lending.h
@@ -74,8 +74,8 @@
     QuotaLoan lendQuota(const std::string &workspace, const QuotaTerms &terms, int wanted,
                         int returned, core::TimePoint now);
 
-    // Treats the buckets of all workspaces as new ones, after a time in which other hosts may have
-    // lent in place of this one.
+    // Reduces the buckets of all workspaces, after a time in which other hosts may have lent in
+    // place of this one.
     void restart(core::TimePoint now);
 
     // Drops the buckets of the workspaces for which `known` returns false.
@@ -93,6 +93,7 @@
     LendingTimings m_times;
     std::map<std::string, TokenBucket> m_buckets;
     std::unordered_map<std::string, QuotaBucket> m_quotas;
+    std::optional<core::TimePoint> m_restartedAt;
 };
 
 // Admission decision on one request.
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -126,13 +126,16 @@
 
 TransferResult RoutedCluster::sendRequest(std::size_t n, const std::string &path,
                                           const std::string &id, const std::string &method,
-                                          const std::string &body, int callerTimeoutMs) const
+                                          const std::string &body, int callerTimeoutMs,
+                                          const std::string &key) const
 {
     Transfer transfer;
     transfer.method = method;
     transfer.url = "http://" + m_hosts[n].callers + path;
     transfer.headers = {"Host: shop.example", "X-Request-Id: " + id,
                         "X-Deadline-Ms: " + std::to_string(callerTimeoutMs)};
+    if (!key.empty())
+        transfer.headers.push_back("Authorization: Token " + key);
     if (!body.empty())
         transfer.body = std::make_shared<const std::string>(body);
     transfer.timeout = std::chrono::milliseconds(callerTimeoutMs + 1000);
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -47,10 +47,10 @@
     void start(std::size_t n);
 
     // Sends a request with request id `id` to host `n`. `callerTimeoutMs` is the time that the
-    // caller waits, sent as X-Deadline-Ms.
+    // caller waits, sent as X-Deadline-Ms. `key`: API key of a workspace, if not empty.
     TransferResult sendRequest(std::size_t n, const std::string &path, const std::string &id,
                                const std::string &method = "GET", const std::string &body = {},
-                               int callerTimeoutMs = 2000) const;
+                               int callerTimeoutMs = 2000, const std::string &key = {}) const;
 
     // Returns the caller addresses that the directory of host `n` lists for its own zone.
     std::vector<std::string> resolve(std::size_t n) const;
