--- a/packages/policy/limits/lending.cpp
+++ b/packages/policy/limits/lending.cpp
@@ -16,14 +16,17 @@
 
 // Share of the rate that the deputy lends while the lender does not answer it. The lender may still
 // answer others until the hosts have noticed a partition.
-constexpr double deputyShare = 0.4;
-// The same for hosts that are asked only because the views of the members differ.
+constexpr double deputyShare = 0.3;
+// Time after a pause, and share of the rate that a lender lends then: the host that lent meanwhile
+// does so until it sees that this one has returned.
+constexpr core::Duration returnedPeriod = std::chrono::seconds(1);
+constexpr double returnedShare = 0.5;
+// Share of the rate that other hosts lend, which are asked only because the views of the members
+// differ.
 constexpr double otherLenderShare = 0.1;
 // Bounds of the time for which requests are refused without another request to the lender.
 constexpr core::Duration minExhaustedPeriod = std::chrono::milliseconds(5);
 constexpr core::Duration maxExhaustedPeriod = std::chrono::seconds(1);
-// Time without requests ahead after the lender was exhausted: other hosts need its tokens more.
-constexpr core::Duration nothingAheadPeriod = std::chrono::seconds(1);
 // Fraction of a burst that one host may hold ahead of its requests.
 constexpr double maxAheadOfBurst = 0.25;
 // Upper bound on the tokens that one host returns at once.
@@ -57,8 +60,8 @@
 {
     LendingTimings times;
     // A borrowed token is used up to this long after it was lent, which adds to the requests of a
-    // window: 0.25 s is half of the permitted overshoot.
-    times.loanLifetime = std::chrono::milliseconds(250);
+    // window: 0.2 s of the 0.5 s by which they may exceed the quota.
+    times.loanLifetime = std::chrono::milliseconds(200);
     times.loanCoverage = std::chrono::milliseconds(150);
     times.demandWindow = std::chrono::seconds(1);
     return times;
@@ -71,14 +74,18 @@
     const double initial = std::min(fullBurst, terms.initialTokens);
     auto it = m_quotas.find(workspace);
     if (it == m_quotas.end()) {
-        const QuotaBucket bucket{TokenBucket(0, fullBurst, 0, now), 0};
+        const QuotaBucket bucket{TokenBucket(0, fullBurst, 0, now), 0, 0};
         it = m_quotas.emplace(workspace, bucket).first;
     }
     auto &bucket = it->second;
+    bucket.initialTokens = initial;
     double share = terms.visibleShare;
+    if (m_restartedAt && now - *m_restartedAt < returnedPeriod)
+        share *= returnedShare;
     if (terms.rank != 0)
         share *= terms.rank == 1 ? deputyShare : otherLenderShare;
-    bucket.tokens.setRate(terms.ratePerSecond * share, terms.rank == 0 ? fullBurst : initial, now);
+    bucket.tokens.setRate(terms.ratePerSecond * share,
+                          terms.rank == 0 ? fullBurst : std::max(1.0, initial / 2), now);
     // Several hosts may take themselves for the lender while hosts that started together learn of
     // each other. Each gets the part of the initial tokens that belongs to the hosts it sees.
     if (terms.visibleShare > bucket.initialShare) {
@@ -94,10 +101,12 @@
     return loan;
 }
 
-void Lender::restart(double initialTokens, TimePoint now)
+void Lender::restart(TimePoint now)
 {
+    m_restartedAt = now;
     for (auto &it : m_quotas) {
-        it.second.tokens.discardAbove(initialTokens * it.second.initialShare, now);
+        auto &bucket = it.second;
+        bucket.tokens.discardAbove(bucket.initialTokens / 2 * bucket.initialShare, now);
     }
 }
 
@@ -216,7 +225,7 @@
     if (!m_lenderExhausted)
         return;
     m_refuseUntil = now + std::clamp(loan.wait, minExhaustedPeriod, maxExhaustedPeriod);
-    m_nothingAheadUntil = now + nothingAheadPeriod;
+    m_nothingAheadUntil = now + m_times.nothingAheadPeriod;
 }
 
 void Borrower::addTokens(int tokens, TimePoint expiresAt)
