Try a suspected request once per host before a crash can count as repeated; tell all notes

Within 500 ms of the first crash no crash counts as repeated, and each arrival of a suspected request ended one more server: 7 after the 18 of the first arrival in the new process test. A host now makes one try in that time. A full record keeps the time of its earliest crash, from which repeated crashes are told.

Other bounds that hid the newest or the last evidence: - Messages named the same 16 (32) leaving servers each time; they rotate now. - A host did not fetch the notes of a peer as long as new ones kept arriving; it does so after 5 s. - Warnings were dropped among the lines of refused requests; a tenth of the burst of log lines is now reserved for them.

The unit tests of the last three fail with the respective line reverted.

--- a/packages/adapters/logging/line_rate_limiter.cpp
+++ b/packages/adapters/logging/line_rate_limiter.cpp
@@ -5,18 +5,18 @@
 
 namespace goldcrestline::adapters::logging {
 
-LineRateLimiter::LineRateLimiter(double perSecond, double burst)
-    : m_perSecond(perSecond), m_burst(burst), m_tokens(burst)
+LineRateLimiter::LineRateLimiter(double perSecond, double burst, double reserve)
+    : m_perSecond(perSecond), m_burst(burst), m_reserve(reserve), m_tokens(burst)
 { }
 
-bool LineRateLimiter::tryAcquire(core::TimePoint now)
+bool LineRateLimiter::tryAcquire(core::TimePoint now, bool important)
 {
     if (m_refilledAt != core::TimePoint{}) {
         const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
         m_tokens = std::min(m_burst, m_tokens + std::max(0.0, seconds) * m_perSecond);
     }
     m_refilledAt = now;
-    if (m_tokens < 1) {
+    if (m_tokens < 1 + (important ? 0 : m_reserve)) {
         ++m_dropped;
         return false;
     }
--- a/packages/adapters/logging/line_rate_limiter.h
+++ b/packages/adapters/logging/line_rate_limiter.h
@@ -10,12 +10,13 @@
 class LineRateLimiter
 {
 public:
-    // `perSecond`: average rate of lines; `burst`: lines that may be written at once.
-    LineRateLimiter(double perSecond, double burst);
+    // `perSecond`: average rate of lines; `burst`: lines that may be written at once; `reserve`:
+    // part of the burst that only important lines may use.
+    LineRateLimiter(double perSecond, double burst, double reserve = 0);
 
     // Takes a token for one line. Returns false, and counts the line as dropped, if none is
     // available.
-    bool tryAcquire(core::TimePoint now);
+    bool tryAcquire(core::TimePoint now, bool important = false);
 
     // Counts a line that was dropped for another reason.
     void countDropped() { ++m_dropped; }
@@ -29,6 +30,7 @@
 private:
     double m_perSecond;
     double m_burst;
+    double m_reserve;
     double m_tokens;
     core::TimePoint m_refilledAt{};
     std::uint64_t m_dropped = 0;
--- a/packages/adapters/logging/log.cpp
+++ b/packages/adapters/logging/log.cpp
@@ -17,6 +17,9 @@
 // add no information and would take processor time from the requests.
 constexpr double maxLinesPerSecond = 200;
 constexpr double maxBurstLines = 1000;
+// Part of the burst for warnings and errors, which would be lost among the lines of a burst of
+// refused requests.
+constexpr double reservedLines = 100;
 // A pipe that polls as writable accepts this many bytes without blocking (PIPE_BUF on Linux).
 constexpr std::size_t maxLineBytes = 4096;
 
@@ -26,10 +29,10 @@
 class Output
 {
 public:
-    void write(std::string line)
+    void write(std::string line, bool important)
     {
         const std::scoped_lock lock(m_mutex);
-        if (!m_limiter.tryAcquire(core::Clock::now()))
+        if (!m_limiter.tryAcquire(core::Clock::now(), important))
             return;
         if (!isWritable())
             return m_limiter.countDropped();
@@ -58,7 +61,7 @@
     }
 
     std::mutex m_mutex;
-    LineRateLimiter m_limiter{maxLinesPerSecond, maxBurstLines};
+    LineRateLimiter m_limiter{maxLinesPerSecond, maxBurstLines, reservedLines};
 };
 
 Output &output()
@@ -74,7 +77,9 @@
     void handle(const el::LogDispatchData *data) noexcept override
     {
         const auto *message = data->logMessage();
-        output().write(message->logger()->logBuilder()->build(message, true));
+        const bool important =
+            message->level() == el::Level::Warning || message->level() == el::Level::Error;
+        output().write(message->logger()->logBuilder()->build(message, true), important);
     }
 };
 
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -41,11 +41,10 @@
     m_membership.exchangeWithAll(now);
 }
 
-void PeerService::fillGossip(ports::Gossip &gossip, TimePoint now) const
+void PeerService::fillGossip(ports::Gossip &gossip, TimePoint now)
 {
-    gossip.leavingServers = m_queries.leavingNotes();
-    if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
-        gossip.leavingServers.resize(maxLeavingNotesPerMessage);
+    gossip.leavingServers =
+        m_leavingNotes.next(m_queries.leavingNotes(), maxLeavingNotesPerMessage);
     gossip.listsVersion = m_host.listsDocument.version();
     gossip.fleetRevision = m_host.fleetDocument.version().revision;
     gossip.storeEra = m_documents.storeEra();
--- a/packages/daemon/engine/peer_service.h
+++ b/packages/daemon/engine/peer_service.h
@@ -6,6 +6,7 @@
 #include "daemon/engine/query_service.h"
 #include "daemon/engine/request_service.h"
 #include "daemon/peers/membership.h"
+#include "policy/routing/note_rotation.h"
 #include "ports/peer_link.h"
 
 namespace goldcrestline::daemon::engine {
@@ -31,7 +32,7 @@
 
 private:
     peers::Membership::Hooks membershipHooks();
-    void fillGossip(ports::Gossip &gossip, core::TimePoint now) const;
+    void fillGossip(ports::Gossip &gossip, core::TimePoint now);
     void onGossip(const ports::Gossip &gossip, const policy::membership::Member &from,
                   std::optional<core::TimePoint> requestedAt);
 
@@ -50,6 +51,7 @@
     QueryService &m_queries;
     RequestService &m_requests;
     PlanRateLimiter &m_planLimiter;
+    policy::routing::NoteRotation m_leavingNotes;
     peers::Membership m_membership;
 };
 
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -21,6 +21,7 @@
 #include "platform/http_messages.h"
 #include "policy/entrypoints/entry_points.h"
 #include "policy/entrypoints/processor_load_estimator.h"
+#include "policy/routing/note_rotation.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -314,9 +315,8 @@
     {
         return {[this](ports::Gossip &gossip, TimePoint now) {
                     m_copy.fillGossip(gossip, now);
-                    gossip.leavingServers = m_backends.recentLeavingNotes(now);
-                    if (gossip.leavingServers.size() > maxLeavingNotesPerMessage)
-                        gossip.leavingServers.resize(maxLeavingNotesPerMessage);
+                    gossip.leavingServers = m_leavingNotes.next(m_backends.recentLeavingNotes(now),
+                                                                maxLeavingNotesPerMessage);
                     m_quarantineSync.fillGossip(gossip, now);
                     if (m_reach.respondedAt() != TimePoint{}) {
                         gossip.serverResponseAge =
@@ -700,6 +700,7 @@
     RequestRelay m_relay;
     adapters::peers::LoopPeerLink m_link;
     QuarantineSync m_quarantineSync;
+    policy::routing::NoteRotation m_leavingNotes;
     PlatformCopy m_copy;
     policy::membership::MemberTable m_members;
     peers::Membership m_membership;
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -103,6 +103,8 @@
     case Handling::OneCall:
         return isRunningElsewhere(id, *running.content) ? SendPermission::Later
                                                         : SendPermission::Once;
+    case Handling::Paused:
+        return SendPermission::Later;
     case Handling::Blocked:
         return SendPermission::Never;
     }
--- a/packages/daemon/forward/quarantine_sync.cpp
+++ b/packages/daemon/forward/quarantine_sync.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t maxNotesPerMessage = 12;
 // Time for new notes to arrive with probes, before all notes of a peer are fetched.
 constexpr core::Duration newsTime = std::chrono::milliseconds(1500);
+// Longest such time. While crashes go on, the notes of each message are the newest ones only.
+constexpr core::Duration maxNewsTime = std::chrono::seconds(5);
 constexpr core::Millis fetchTimeout{1000};
 // The interval between fetches doubles from the minimum while they bring nothing new.
 constexpr core::Duration minFetchInterval = std::chrono::seconds(1);
@@ -77,7 +79,8 @@
     if (m_differentSince == TimePoint{})
         m_differentSince = now;
     const bool changing = now - std::max(m_differentSince, m_quarantine.changedAt()) < newsTime;
-    return now >= m_nextFetchAt && (own == 0 || !changing);
+    const bool overdue = now - m_differentSince >= maxNewsTime;
+    return now >= m_nextFetchAt && (own == 0 || overdue || !changing);
 }
 
 void QuarantineSync::fetch(const std::string &address, TimePoint now)
--- a/packages/policy/quarantine/request_quarantine.cpp
+++ b/packages/policy/quarantine/request_quarantine.cpp
@@ -59,21 +59,24 @@
     return it == m_requests.end() ? TimePoint{} : blockedUntil(request, it->second.crashes);
 }
 
-Handling RequestQuarantine::handling(const std::string &request, const Crashes &crashes,
+Handling RequestQuarantine::handling(const std::string &request, const Entry &entry,
                                      TimePoint now) const
 {
+    const auto &crashes = entry.crashes;
     const auto n = count(crashes);
     if (n == 0 || now >= expiresAt(crashes))
         return Handling::Normal;
     if (now < blockedUntil(request, crashes))
         return Handling::Blocked;
+    if (n > 1 && now < entry.pausedUntil)
+        return Handling::Paused;
     return n == 1 ? Handling::OneServer : Handling::OneCall;
 }
 
 Handling RequestQuarantine::handling(const std::string &request, TimePoint now) const
 {
     const auto it = m_requests.find(request);
-    return it == m_requests.end() ? Handling::Normal : handling(request, it->second.crashes, now);
+    return it == m_requests.end() ? Handling::Normal : handling(request, it->second, now);
 }
 
 Handling RequestQuarantine::handling(const std::vector<std::string> &digests, TimePoint now) const
@@ -118,8 +121,19 @@
     return true;
 }
 
-void RequestQuarantine::limitCrashes(const std::string &request, Crashes &crashes)
+TimePoint RequestQuarantine::firstCrash(const Entry &entry)
 {
+    auto first = entry.forgottenAt;
+    for (const auto &it : entry.crashes) {
+        if (!it.second.refuted)
+            first = std::min(first, it.second.at);
+    }
+    return first;
+}
+
+void RequestQuarantine::limitCrashes(const std::string &request, Entry &entry)
+{
+    auto &crashes = entry.crashes;
     const auto erase = [&](Crashes::iterator it) {
         m_digest ^= hashOf(request, *it);
         return crashes.erase(it);
@@ -146,21 +160,38 @@
             it = outdated ? erase(it) : std::next(it);
         }
     }
-    for (auto n = crashes.size() - refuted; n > m_parameters.maxCrashes; --n)
-        erase(lowest(false));
+    if (crashes.size() == refuted)
+        entry.forgottenAt = TimePoint::max();
+    for (auto n = crashes.size() - refuted; n > m_parameters.maxCrashes; --n) {
+        const auto it = lowest(false);
+        entry.forgottenAt = std::min(entry.forgottenAt, it->second.at);
+        erase(it);
+    }
+}
+
+void RequestQuarantine::pauseAfterTry(Entry &entry, TimePoint sentAt) const
+{
+    // With fewer crashes before it, the request was not sent as a try.
+    const auto before =
+        std::count_if(entry.crashes.begin(), entry.crashes.end(),
+                      [&](const auto &it) { return !it.second.refuted && it.second.at <= sentAt; });
+    if (before > 1)
+        entry.pausedUntil = firstCrash(entry) + m_parameters.repeatedAfter;
 }
 
 bool RequestQuarantine::onCrash(const std::string &request, const ServerProcess &server,
                                 TimePoint sentAt, TimePoint now)
 {
-    auto &crashes = m_requests[request].crashes;
-    const bool repeated = std::any_of(crashes.begin(), crashes.end(), [&](const auto &it) {
-        return !it.second.refuted && it.second.at + m_parameters.repeatedAfter <= sentAt;
-    });
+    auto &entry = m_requests[request];
+    auto &crashes = entry.crashes;
+    const auto first = firstCrash(entry);
+    const bool repeated = first != TimePoint::max() && first + m_parameters.repeatedAfter <= sentAt;
+    if (!repeated)
+        pauseAfterTry(entry, sentAt);
     const auto known = crashes.find(server);
     const auto number = known == crashes.end() ? m_lastNumber + 1 : known->second.number;
     const bool changed = merge({request, server, repeated, false, core::Millis(0), number}, now);
-    limitCrashes(request, crashes);
+    limitCrashes(request, entry);
     limitRequests();
     return changed;
 }
@@ -183,7 +214,7 @@
         m_changedAt = now;
         changed = true;
     }
-    limitCrashes(request, it->second.crashes);
+    limitCrashes(request, it->second);
     return changed;
 }
 
@@ -199,7 +230,7 @@
         merge(it, now);
     // Only once all notes are merged, so that their order does not matter.
     for (const auto &it : before)
-        limitCrashes(it.first, m_requests.at(it.first).crashes);
+        limitCrashes(it.first, m_requests.at(it.first));
     expire(now);
     limitRequests();
     // Notes that were forgotten at once are no news.
@@ -316,7 +347,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(m_requests.begin(), m_requests.end(), [&](const auto &it) {
-            return handling(it.first, it.second.crashes, now) == Handling::Blocked;
+            return handling(it.first, it.second, now) == Handling::Blocked;
         }));
 }
 
--- a/packages/policy/quarantine/request_quarantine.h
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -51,6 +51,9 @@
     OneServer,
     // The same, and one call of the host at a time.
     OneCall,
+    // Not sent for now: this host's last try crashed another server, but too soon to tell whether
+    // servers end together for another reason.
+    Paused,
     Blocked,
 };
 
@@ -156,6 +159,10 @@
         Crashes crashes;
         // When a server last ran the request to its end; the zero time if none is known.
         core::TimePoint completedAt{};
+        // Time of the earliest crash that counts and has no place in the record; max if none.
+        core::TimePoint forgottenAt = core::TimePoint::max();
+        // Until when this host does not try the request again, after a try that says too little.
+        core::TimePoint pausedUntil{};
     };
 
     // Adds or changes one note; returns whether it says something new.
@@ -165,11 +172,13 @@
     // not.
     std::pair<core::TimePoint, core::Duration> blockOf(const Crashes &crashes) const;
     core::TimePoint blockedUntil(const std::string &request, const Crashes &crashes) const;
-    Handling handling(const std::string &request, const Crashes &crashes,
-                      core::TimePoint now) const;
+    Handling handling(const std::string &request, const Entry &entry, core::TimePoint now) const;
+    void pauseAfterTry(Entry &entry, core::TimePoint sentAt) const;
     core::TimePoint expiresAt(const Crashes &crashes) const;
     // Removes the least useful notes of a request beyond the limits.
-    void limitCrashes(const std::string &request, Crashes &crashes);
+    void limitCrashes(const std::string &request, Entry &entry);
+    // Returns the time of the earliest crash that counts; max if none does.
+    static core::TimePoint firstCrash(const Entry &entry);
     // Removes the least useful requests beyond the limit.
     void limitRequests();
     void erase(std::map<std::string, Entry>::iterator request);
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -78,6 +78,9 @@
     // Returns how often each server executed requests, in total and by request id.
     json runs() const;
 
+    // Returns the address of the platform's store.
+    const std::string &platformAddress() const { return m_platformAddress; }
+
     RoutedHost &host(std::size_t n) { return m_hosts[n]; }
     const RoutedHost &host(std::size_t n) const { return m_hosts[n]; }
     std::size_t size() const { return m_hosts.size(); }
--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -151,6 +151,68 @@
     CHECK(crashing.crashes() <= shards + 3);
 }
 
+// Guards against a first arrival that ends more servers than it has shards, and against a record
+// that is full of its crashes and hides the later ones. Both need more shards than a record has
+// places.
+TEST_CASE("a fan-out that crashes all servers of many shards is blocked after its first arrival",
+          "[process][routes]")
+{
+    constexpr int shards = 18;
+    CrashingCluster crashing(3, "/wide/" + marker);
+    auto &cluster = crashing.cluster;
+    json spec;
+    auto configuration = RoutedCluster::configuration(2);
+    auto wide = configuration["routes"][0];
+    wide.update({{"name", "wide"}, {"path_prefix", "/wide/"}, {"fanout_services", json::array()}});
+    for (int i = 0; i < shards; ++i) {
+        const auto name = "wide" + std::to_string(i);
+        spec["services"][name] = json::object();
+        wide["fanout_services"].push_back(name);
+        configuration["services"].push_back(
+            {{"name", name}, {"health_path", "/health"}, {"max_connections", 64}});
+    }
+    configuration["routes"].push_back(wide);
+    const auto path = scratchFolder() + "/wide.json";
+    writeFile(path, spec.dump());
+    Process farm(std::vector<std::string>{programPath("tests/standins"), "--backends", path,
+                                          "--store", cluster.platformAddress()});
+    const auto address = "127.0.0.1:" + farm.waitForLine("ready ");
+    cluster.applyConfiguration(configuration);
+    REQUIRE(post(address + "/admin/set",
+                 json{{"crash_on", marker}, {"down_s", 1.0}, {"service", "wide0"}}.dump())
+                .status
+            == 200);
+    for (int i = 1; i < shards; ++i) {
+        post(address + "/admin/set",
+             json{{"crash_on", marker}, {"down_s", 1.0}, {"service", "wide" + std::to_string(i)}}
+                 .dump());
+    }
+    for (std::size_t n = 0; n < cluster.size(); ++n) {
+        REQUIRE(eventually([&] {
+            return cluster.sendRequest(n, "/wide/x", "good-" + std::to_string(n)).status == 200;
+        }));
+    }
+    const auto crashes = [&] {
+        int n = 0;
+        for (const auto &it : parsed(get(address + "/admin/runs")))
+            n += it.at("crashes").get<int>();
+        return n;
+    };
+    REQUIRE(crashes() == 0);
+    crashing.arriveAt(0);
+    CHECK(crashes() >= shards);
+    CHECK(crashes() <= shards + 1);
+    crashing.arriveFor(knownAfter);
+    const int known = crashes();
+    CHECK(known <= shards + 1 + maxLaterRuns);
+    crashing.arriveFor(observedTime);
+    CHECK(crashes() == known);
+    // Another request that crashes servers is blocked as well.
+    crashing.path = "/wide/other-" + marker;
+    crashing.arriveFor(knownAfter);
+    CHECK(crashes() <= known + shards + 1 + maxLaterRuns);
+}
+
 TEST_CASE("a crashing fanned-out request is found while most other servers are down",
           "[process][routes]")
 {
--- a/tests/unit/backend_table_test.cpp
+++ b/tests/unit/backend_table_test.cpp
@@ -1,8 +1,10 @@
 #include "policy/forward/backend_table.h"
 #include "policy/forward/departed_servers.h"
+#include "policy/routing/note_rotation.h"
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 using namespace goldcrestline;
 using namespace goldcrestline::policy::forward;
@@ -225,6 +227,23 @@
     CHECK(table.backends.estimateLatency("s", 0, now + 5s)->responseMs < 30);
 }
 
+// Guards against messages that tell of the same servers each time while others leave unheard.
+TEST_CASE("hosts hear of all servers that leave together, in several messages")
+{
+    Table table;
+    for (int i = 0; i < 60; ++i)
+        table.backends.noteLeaving({"s" + std::to_string(i), 0}, start);
+    policy::routing::NoteRotation rotation;
+    std::set<std::string> told;
+    for (int message = 0; message < 4; ++message) {
+        const auto notes = rotation.next(table.backends.recentLeavingNotes(start + 1s), 16);
+        CHECK(notes.size() == 16);
+        for (const auto &it : notes)
+            told.insert(it.serverId);
+    }
+    CHECK(told.size() == 60);
+}
+
 TEST_CASE("a server that reports that it is leaving gets no requests until it restarts")
 {
     Table table;
--- a/tests/unit/logging_test.cpp
+++ b/tests/unit/logging_test.cpp
@@ -30,6 +30,22 @@
     CHECK(limiter.dropped() >= 950 + 900);
 }
 
+// Guards against warnings that are lost among the lines of refused requests.
+TEST_CASE("warnings are written during a flood of other lines")
+{
+    LineRateLimiter limiter(100, 50, 10);
+    auto now = core::TimePoint{} + 1h;
+    int warnings = 0;
+    for (int i = 0; i < 1000; ++i) {
+        now += 1ms;
+        for (int line = 0; line < 5; ++line)
+            limiter.tryAcquire(now);
+        if (i % 50 == 0)
+            warnings += limiter.tryAcquire(now, true) ? 1 : 0;
+    }
+    CHECK(warnings == 20);
+}
+
 TEST_CASE("a log reader that stops reading does not block the writer")
 {
     std::array<int, 2> pipe{};
--- a/tests/unit/request_quarantine_test.cpp
+++ b/tests/unit/request_quarantine_test.cpp
@@ -235,6 +235,38 @@
     CHECK(crashed.crashes(bad) == QuarantineParameters{}.maxCrashes);
 }
 
+// Guards against a record whose newest crashes are all recent, so that none counts as repeated.
+TEST_CASE("a crash is repeated also if the first ones have no place in the record")
+{
+    RequestQuarantine crashed;
+    for (int i = 0; i < 100; ++i)
+        crashed.onCrash(bad, process(i), start, start + i * 10ms);
+    REQUIRE(crashed.handling(bad, start + 1s) == Handling::OneCall);
+    crashed.onCrash(bad, process(100), start + 600ms, start + 1s);
+    CHECK(crashed.handling(bad, start + 1s) == Handling::Blocked);
+}
+
+// Guards against a try, and a crash, with each arrival while no crash counts as repeated.
+TEST_CASE("a host tries a suspected request once in the time in which crashes are not repeated")
+{
+    auto crashed = makeFull(18);
+    REQUIRE(crashed.handling(bad, start + 50ms) == Handling::OneCall);
+    crashed.onCrash(bad, process(18), start + 50ms, start + 60ms);
+    CHECK(crashed.handling(bad, start + 60ms) == Handling::Paused);
+    CHECK(crashed.handling(bad, start + 499ms) == Handling::Paused);
+    REQUIRE(crashed.handling(bad, start + 500ms) == Handling::OneCall);
+    SECTION("the next try blocks it")
+    {
+        crashed.onCrash(bad, process(19), start + 500ms, start + 510ms);
+        CHECK(crashed.handling(bad, start + 510ms) == Handling::Blocked);
+    }
+    SECTION("and not at all once it was completed")
+    {
+        crashed.onCompleted(bad, start + 70ms);
+        CHECK(crashed.handling(bad, start + 80ms) == Handling::Normal);
+    }
+}
+
 TEST_CASE("a request is blocked after another one that filled the records")
 {
     QuarantineParameters parameters;
