--- a/tests/process/crashing_requests_test.cpp
+++ b/tests/process/crashing_requests_test.cpp
@@ -213,6 +213,29 @@
     CHECK(crashes() <= known + shards + 1 + maxLaterRuns);
 }
 
+// Guards against crashes that the answers of other shards refute each time.
+TEST_CASE("a fanned-out request that crashes the servers of one shard reaches at most three more",
+          "[process][routes]")
+{
+    CrashingCluster crashing(3, "/all/" + marker);
+    for (const char *it : {"single", "shard1", "shard2"})
+        crashing.cluster.setBackends({{"service", it}, {"crash_on", ""}});
+    const auto arriveFor = [&](std::chrono::steady_clock::duration time) {
+        const auto end = Clock::now() + time;
+        for (int n = 0; Clock::now() < end; ++n) {
+            crashing.cluster.sendRequest(static_cast<std::size_t>(n) % crashing.cluster.size(),
+                                         crashing.path,
+                                         "bad-" + std::to_string(crashing.arrivals++));
+            std::this_thread::sleep_for(arrivalInterval);
+        }
+    };
+    arriveFor(knownAfter);
+    REQUIRE(crashing.crashes() >= 2);
+    const int before = crashing.crashes();
+    arriveFor(observedTime);
+    CHECK(crashing.crashes() - before <= maxLaterRuns);
+}
+
 TEST_CASE("a crashing fanned-out request is found while most other servers are down",
           "[process][routes]")
 {
