Leave a shard out of a fan-out that crashes its servers only

Parts of a fan-out now have a digest of their content and service, which only an answer of the service clears. From two crashes on, the part is neither sent again nor hedged; once it is blocked, it is missing from the answer.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -83,6 +83,12 @@
         return m_hedgeDelay.hedgeDelay(route);
     };
     m_hooks.permission = [this](std::uint64_t id, TimePoint now) { return permission(id, now); };
+    m_hooks.leavesOut = [this](std::uint64_t id, const auto &service, bool broke, TimePoint now) {
+        const auto handling = m_quarantine.empty()
+            ? Handling::Normal
+            : m_quarantine.handling(m_calls.at(id)->content->digestAt(service), now);
+        return handling >= Handling::Paused || (broke && handling == Handling::OneCall);
+    };
     m_hooks.nextAttempt = [this] { return ++m_lastAttempt; };
 }
 
@@ -228,6 +234,7 @@
     attempt.requestId = running.requestId;
     attempt.content = running.content;
     attempt.route = running.call.route().name;
+    attempt.isPart = running.call.route().fansOut();
     attempt.backend = sendAction.backend;
     attempt.sentAt = now;
     attempt.exchange =
@@ -292,8 +299,11 @@
         m_crashMonitor.onNotReached(*attempt.backend, now);
     // A request that another server ran to its end does not crash servers.
     if (result.connectionEnded && (running == nullptr || !running->call.completedAnywhere())) {
-        Interruption interruption{attempt.content->digests(), attempt.requestId, attempt.sentAt,
-                                  nullptr};
+        auto digests = attempt.content->digests();
+        if (attempt.isPart)
+            digests.insert(digests.begin(),
+                           attempt.content->digestAt(attempt.backend->record.service));
+        Interruption interruption{std::move(digests), attempt.requestId, attempt.sentAt, nullptr};
         if (running != nullptr) {
             ++running->attemptsHeld;
             interruption.resume = [this, id, callId = attempt.call](ServerState state,
@@ -310,6 +320,15 @@
     const auto error = result.connectionEnded ? AttemptError::Broken : AttemptError::Unusable;
     running->call.onError(id, reached ? error : AttemptError::NotReached, now, actions);
     apply(attempt.call, actions, now);
+    // It may still crash the servers of this service.
+    if (result.connectionEnded && attempt.isPart) {
+        m_crashMonitor.onInterrupted(attempt.backend,
+                                     {{attempt.content->digestAt(attempt.backend->record.service)},
+                                      attempt.requestId,
+                                      attempt.sentAt,
+                                      nullptr},
+                                     now);
+    }
 }
 
 void ForwardService::resumeBroken(policy::forward::AttemptId id, std::uint64_t call,
@@ -336,6 +355,10 @@
     bool refuted = false;
     for (const auto &it : attempt.content->digests())
         refuted |= m_quarantine.onCompleted(it, now);
+    if (attempt.isPart) {
+        refuted |= m_quarantine.onCompleted(
+            attempt.content->digestAt(attempt.backend->record.service), now);
+    }
     if (refuted) {
         log.info("server completed a suspected request id=" + attempt.requestId + " request="
                  + attempt.content->digests().back() + " server=" + attempt.backend->record.id);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -149,6 +149,8 @@
         std::string requestId;
         policy::quarantine::RequestContentPtr content;
         std::string route;
+        // The attempt is one part of a fan-out.
+        bool isPart = false;
         policy::forward::BackendPtr backend;
         ports::ExchangeId exchange = 0;
         core::TimePoint sentAt{};
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -126,6 +126,11 @@
 {
     auto &state = m_parts[part];
     state.heldBack = false;
+    if (m_route.fansOut()
+        && m_hooks.leavesOut(m_rank.sequence, m_services[part], state.broke, now)) {
+        state.lost = state.inFlight == 0;
+        return std::nullopt;
+    }
     auto permission = m_hooks.permission(m_rank.sequence, now);
     if (mayHaveCrashed(state)
         && (permission == SendPermission::Any || permission == SendPermission::OneAtATime))
@@ -353,6 +358,8 @@
     state.hedgeAt = TimePoint::max();
     if (state.done || state.inFlight != 1 || !mayRetry(state))
         return;
+    if (m_route.fansOut() && m_hooks.leavesOut(m_rank.sequence, service, true, now))
+        return;
     if (m_hooks.permission(m_rank.sequence, now) != SendPermission::Any) {
         state.hedgeAt = now + retryInterval;
         return;
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -150,6 +150,11 @@
     std::function<core::Duration(const std::string &route)> hedgeDelay;
     // Returns which attempts the call with this sequence number may send.
     std::function<SendPermission(std::uint64_t sequence, core::TimePoint now)> permission;
+    // Returns whether the call leaves out the service, whose servers its request crashes. `broke`:
+    // an attempt of the call broke there.
+    std::function<bool(std::uint64_t sequence, const std::string &service, bool broke,
+                       core::TimePoint now)>
+        leavesOut = [](auto &&...) { return false; };
     std::function<AttemptId()> nextAttempt;
 };
 
--- a/packages/policy/quarantine/request_content.h
+++ b/packages/policy/quarantine/request_content.h
@@ -22,6 +22,10 @@
     // with the digest of another one. Equal on all hosts. Computed on the first call.
     const std::vector<std::string> &digests() const;
 
+    // Returns a digest of the content at one service of a fan-out. The answers of other services do
+    // not clear it, so that it shows a request which crashes the servers of one service only.
+    std::string digestAt(const std::string &service) const { return digests()[1] + '@' + service; }
+
 private:
     std::string m_caller;
     std::string m_method;
--- a/tests/unit/forward_call_test.cpp
+++ b/tests/unit/forward_call_test.cpp
@@ -218,6 +218,41 @@
     }
 }
 
+// Guards against a request that ends servers of one shard again and again, while the answers of
+// the others clear it.
+TEST_CASE("a fan-out leaves out the shard whose servers its request crashes")
+{
+    CallEnvironment environment;
+    for (int i = 0; i < 3; ++i)
+        environment.add("shard" + std::to_string(i), 3);
+    bool evenFirst = false;
+    environment.hooks.leavesOut = [&](auto, const std::string &service, bool broke, auto) {
+        return service == "shard0" && (broke || evenFirst);
+    };
+    SECTION("after an attempt there broke")
+    {
+        CallDriver driver(environment, makeFanoutRoute(3, 0.6));
+        driver.reply(1, ReplyKind::Success, start + 2ms);
+        driver.reply(2, ReplyKind::Success, start + 2ms);
+        driver.reportError(0, AttemptError::Broken, start + 3ms);
+        CHECK(driver.sends.size() == 3);
+        REQUIRE(driver.finishes.size() == 1);
+        CHECK(driver.finishes[0].parts.size() == 2);
+    }
+    SECTION("from the start")
+    {
+        evenFirst = true;
+        CallDriver driver(environment, makeFanoutRoute(3, 0.6));
+        CHECK(driver.sends.size() == 2);
+    }
+    SECTION("and does not hedge it")
+    {
+        CallDriver driver(environment, makeFanoutRoute(3, 0.6));
+        driver.advanceTo(start + 20ms);
+        CHECK(driver.sends.size() == 5);
+    }
+}
+
 // Guards against a call that uses up its only attempt while all servers are busy.
 TEST_CASE("a call that may send once waits for a free server")
 {
