--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -84,6 +84,9 @@
     // Returns the headers, each as "Name: value", that a server saw of each request, by its id.
     json headersSeen() const;
 
+    // Returns the address of the platform's store.
+    const std::string &platformAddress() const { return m_platformAddress; }
+
     RoutedHost &host(std::size_t n) { return m_hosts[n]; }
     const RoutedHost &host(std::size_t n) const { return m_hosts[n]; }
     std::size_t size() const { return m_hosts.size(); }
