--- a/packages/daemon/forward/request_admission.cpp
+++ b/packages/daemon/forward/request_admission.cpp
@@ -130,7 +130,7 @@
 {
     if (!m_table || !m_table->workspaces())
         return true;
-    if (keyDigest != m_foundDigest) {
+    if (keyDigest.empty() || keyDigest != m_foundDigest) {
         if (m_table->workspaces()->findByDigest(keyDigest) == nullptr)
             return false;
         m_foundDigest = keyDigest;
--- a/tests/unit/access_test.cpp
+++ b/tests/unit/access_test.cpp
@@ -330,6 +330,7 @@
     workspaces[0]["api_keys"] = {"key-2"};
     it.configure(workspaces);
     CHECK_FALSE(it.admission.accessAllowed(digestOf("key-1")));
+    CHECK_FALSE(it.admission.accessAllowed(""));
     CHECK(it.admission.accessAllowed(digestOf("key-2")));
 }
 
