Shorten the time in which a starting host lends little

In the process test a workspace within its quota lost 4 of 97 requests, at least one of them before the lender was killed: a host counted as one of hosts_at_most for 3 s, hosts know each other after about 1 s. It is 1.5 s now. A start also counts as a pause, since the deputy may still lend. The tests of this state follow.

--- a/packages/daemon/forward/workspace_quota.cpp
+++ b/packages/daemon/forward/workspace_quota.cpp
@@ -134,7 +134,8 @@
 void WorkspaceQuota::noteActive(TimePoint now)
 {
     const auto before = std::exchange(m_activeAt, std::max(now, m_activeAt));
-    if (before != TimePoint{} && now - before > pauseThreshold)
+    // A start counts as a pause: other hosts may have lent before it.
+    if (now - before > pauseThreshold)
         m_lender.restart(now);
 }
 
@@ -173,9 +174,10 @@
 {
     noteActive(now);
     // A request may carry a workspace of an earlier configuration.
-    if (!m_workspaces || m_workspaces->find(workspace.name) == nullptr)
-        return decide({false, policy::forward::retryDelay(core::Duration{0}, m_hooks.random())},
-                      now);
+    if (!m_workspaces || m_workspaces->find(workspace.name) == nullptr) {
+        const auto delay = policy::forward::retryDelay(core::Duration{0}, m_hooks.random());
+        return decide({false, delay}, now);
+    }
     auto &state = stateOf(workspace, now);
     switch (state.borrower.admit(now)) {
     case Admission::Admitted:
--- a/packages/policy/limits/lender_view.cpp
+++ b/packages/policy/limits/lender_view.cpp
@@ -19,8 +19,9 @@
 // Time for which a host that is not reachable counts: it may serve requests on the other side of a
 // partition.
 constexpr core::Duration unreachableRetention = std::chrono::seconds(30);
-// Time after the start in which the expected number of hosts is assumed.
-constexpr core::Duration startPeriod = std::chrono::seconds(3);
+// Time after the start in which the expected number of hosts is assumed. Hosts that start together
+// know each other after about 1 s.
+constexpr core::Duration startPeriod = std::chrono::milliseconds(1500);
 // Part of a quota that is divided among all hosts; the rest is divided among the entry points.
 constexpr double anyHostFraction = 0.5;
 
--- a/tests/process/quotas_test.cpp
+++ b/tests/process/quotas_test.cpp
@@ -128,6 +128,8 @@
             lender = i;
     }
 
+    // For 1.5 s after its start, a host counts as one of `hosts_at_most` (12) and lends only its part.
+    std::this_thread::sleep_for(1500ms);
     WorkspaceLoad greedy(cluster, "greedy", 5 * rate);
     WorkspaceLoad modest(cluster, "modest", 5);
     const auto start = Clock::now();
@@ -146,6 +148,8 @@
         counts.emplace_back(before, n);
         if (!killed && Clock::now() - start > 7s) {
             killed = true;
+            // With all hosts, none of its requests is refused.
+            CHECK(modest.refused == 0);
             for (auto *it : {&greedy, &modest})
                 it->setDead(lender, true);
             cluster.host(lender).process->signal(SIGKILL);
