--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -30,6 +30,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <filesystem>
+#include <functional>
 #include <random>
 
 namespace goldcrestline::daemon::forward {
@@ -211,9 +212,7 @@
             [this] { return m_copy.serversKnown(); },
             [this] { onCrashRecorded(); },
             [this](const std::string &keyDigest) { return m_admission.accessAllowed(keyDigest); },
-            [this](const std::string &workspace, TimePoint now) {
-                m_workspaceQuota.giveBack(workspace, now);
-            },
+            std::bind_front(&WorkspaceQuota::giveBack, &m_workspaceQuota),
             [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
                 m_reach.onAttempt(backend, responded, now);
             }};
@@ -225,13 +224,8 @@
         hooks.random = [this] { return uniform(); };
         hooks.configurationProven = [this] { return m_prover.proven(core::BootClock::now()); };
         hooks.describeProof = [this] { return m_prover.describe(core::BootClock::now()); };
-        hooks.admitQuota = [this](const policy::access::Workspace &workspace, TimePoint now,
-                                  RequestAdmission::QuotaHandler decide) {
-            m_workspaceQuota.admit(workspace, now, std::move(decide));
-        };
-        hooks.returnQuota = [this](const std::string &workspace, TimePoint now) {
-            m_workspaceQuota.giveBack(workspace, now);
-        };
+        hooks.admitQuota = std::bind_front(&WorkspaceQuota::admit, &m_workspaceQuota);
+        hooks.returnQuota = std::bind_front(&WorkspaceQuota::giveBack, &m_workspaceQuota);
         hooks.forward = [this](AdmittedRequest request, TimePoint now) {
             m_forward.handle(std::move(request), now);
         };
