Limit the requests of all hosts together to cold servers

A server that has just started stands only a few requests per second and crashes above them. Each host now sends a cold server its share of the configured rate, with a token bucket whose tokens expire when no request uses them, so that many hosts with small shares do not hold one each. Shares follow the demand slowly, count hosts that were lost within the last 30 s, and begin at an even share. Waiting requests are tried again each 10 ms while servers are cold. A rate of 0 or a server that is not cold changes nothing.

--- a/packages/daemon/forward/fleet_quota.cpp
+++ b/packages/daemon/forward/fleet_quota.cpp
@@ -18,7 +18,11 @@
     : m_minHosts(static_cast<std::size_t>(settings.peers.hostsAtMost.value)),
       m_fleetExtraBurst(extraBudgetFraction * settings.forward.extraSlack.value),
       m_share(1.0 / static_cast<double>(m_minHosts))
-{ }
+{
+    m_warmupShare.overshoot = settings.warmup.overshoot.value;
+    m_warmupShare.slack = settings.warmup.slack.value;
+    m_warmupShare.share = m_share;
+}
 
 void FleetQuota::update(const policy::membership::MemberTable &members, std::uint64_t requests,
                         core::TimePoint now)
@@ -38,6 +42,12 @@
     }
     m_demand.onRequests(requests, now);
     m_demand.update(others, now);
+    std::vector<std::string> names;
+    for (const auto &it : live)
+        names.push_back(it.name);
+    m_warmup.update(m_demand.share(), m_demand.perSecond(), names, m_minHosts, now);
+    m_warmupShare.share = m_warmup.share();
+    m_warmupShare.requestsPerSecond = m_warmup.requestsPerSecond();
 }
 
 int FleetQuota::connectionLimit(int serverLimit) const
--- a/packages/daemon/forward/fleet_quota.h
+++ b/packages/daemon/forward/fleet_quota.h
@@ -2,6 +2,7 @@
 
 #include "adapters/settings/settings.h"
 #include "core/clock.h"
+#include "policy/forward/warmup_share.h"
 #include "policy/limits/demand_share.h"
 #include "policy/membership/member_table.h"
 
@@ -33,6 +34,9 @@
     double requestsPerSecond() const { return m_demand.perSecond(); }
     double demandShare() const { return m_demand.share(); }
 
+    // Returns this host's share of the requests to cold servers.
+    policy::forward::WarmupShare warmupShare() const { return m_warmupShare; }
+
     // Returns how many connections this host may have to a server that accepts `serverLimit`
     // connections from all hosts together.
     int connectionLimit(int serverLimit) const;
@@ -48,6 +52,8 @@
     double m_fleetExtraBurst;
     double m_share;
     policy::limits::DemandShare m_demand;
+    policy::forward::WarmupShare m_warmupShare;
+    policy::forward::WarmupShareEstimator m_warmup;
     bool m_receivesCallerTraffic = true;
     core::TimePoint m_startedAt{};
     core::Duration m_uptime{0};
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -247,6 +247,7 @@
     {
         m_quota.update(m_members, m_admission.counters().requests, now);
         m_backends.setLimitShare(m_quota.demandShare());
+        m_backends.setWarmupShare(m_quota.warmupShare(), now);
         m_forward.setExtraBurst(m_quota.extraBurst());
         m_backendClient.setIdleTimeout(
             m_quota.receivesCallerTraffic() ? ExchangeOptions().idleTimeout : standbyIdleTimeout);
@@ -379,6 +380,7 @@
         m_callers.setLimits(limits);
         if (m_relayServer)
             m_relayServer->setLimits(relayLimits(limits));
+        m_backends.setWarmupRates(table->warmupRates(), core::Clock::now());
         m_admission.setRoutes(std::move(table));
     }
 
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -32,6 +32,9 @@
 // be reused. It exceeds the pauses of servers and stays below the limit of half a second within
 // which cancelled work has to stop.
 constexpr core::Millis detachedAttemptGrace{250};
+// Interval at which waiting requests are tried again while servers are cold: no response tells when
+// their limits allow a further one.
+constexpr core::Millis coldCheckInterval{10};
 constexpr core::NameTable<CallOutcome, 7> outcomeNames{{
     {CallOutcome::Passed, "passed"},
     {CallOutcome::PassedFailure, "server failure"},
@@ -344,6 +347,8 @@
                  + " service=" + record.service);
     }
     noteLimit(backend, reply, now);
+    if (reply.warmupLeft)
+        m_backends.onWarmupReport(backend, *reply.warmupLeft, now);
     if (!reply.restFor)
         return;
     ++m_counters.restsRequested;
@@ -570,11 +575,18 @@
     }
     abortDetached(now);
     m_crashMonitor.tick(now);
+    m_coldCheckAt = TimePoint::max();
+    const auto waiting = m_waitQueue.services();
+    if (waiting.empty() || !m_backends.anyCold(now))
+        return;
+    for (const auto &it : waiting)
+        dispatchWaiting(it, now);
+    m_coldCheckAt = now + coldCheckInterval;
 }
 
 TimePoint ForwardService::nextTickAt() const
 {
-    auto next = m_crashMonitor.nextTickAt();
+    auto next = std::min(m_crashMonitor.nextTickAt(), m_coldCheckAt);
     if (!m_timers.empty())
         next = std::min(next, m_timers.begin()->first);
     if (!m_detached.empty())
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -230,6 +230,8 @@
     // Timers of the calls in progress.
     std::set<std::pair<core::TimePoint, std::uint64_t>> m_timers;
     policy::forward::WaitQueue m_waitQueue;
+    // When the requests that wait for a cold server are tried again.
+    core::TimePoint m_coldCheckAt = core::TimePoint::max();
     policy::forward::AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastCall = 0;
     ForwardCounters m_counters;
--- a/packages/daemon/forward/server_list.cpp
+++ b/packages/daemon/forward/server_list.cpp
@@ -38,7 +38,7 @@
     const auto until = m_departed.heldUntil(id, entry.record.startedAt, entry.sequence, now);
     if (!until) {
         m_held.erase(id);
-        return apply(entry, spec);
+        return apply(entry, spec, now);
     }
     const auto [held, added] = m_held.try_emplace(id, HeldEntry{spec, *until});
     if (added)
@@ -46,7 +46,8 @@
     held->second.spec = spec;
 }
 
-void ServerList::apply(const platform::ServerEntry &entry, const nlohmann::json &spec)
+void ServerList::apply(const platform::ServerEntry &entry, const nlohmann::json &spec,
+                       core::TimePoint now)
 {
     const auto &id = entry.record.id;
     const auto startedAt = entry.record.startedAt;
@@ -72,6 +73,7 @@
     if (entry.record.leaving)
         log.info("leaving id=" + id + " service=" + entry.record.service);
     m_backends.put(entry.record);
+    m_backends.setWarmup(id, entry.record.warmup, now);
 }
 
 void ServerList::onRemoved(const std::string &id, core::TimePoint now)
@@ -119,7 +121,7 @@
         }
         // Decodable, since only decoded entries are held back.
         const auto entry = platform::decodeServer(it->first, it->second.spec);
-        apply(entry.value(), it->second.spec);
+        apply(entry.value(), it->second.spec, now);
         it = m_held.erase(it);
     }
 }
--- a/packages/daemon/forward/server_list.h
+++ b/packages/daemon/forward/server_list.h
@@ -106,7 +106,7 @@
     };
 
     // Applies an entry unless an older one is known.
-    void apply(const platform::ServerEntry &entry, const nlohmann::json &spec);
+    void apply(const platform::ServerEntry &entry, const nlohmann::json &spec, core::TimePoint now);
     // Returns the entry as other hosts get it; null for a removed one.
     nlohmann::json entryForPeers(const std::string &id) const;
     // Applies an entry in the form of entryForPeers().
--- a/packages/policy/forward/backend_table.cpp
+++ b/packages/policy/forward/backend_table.cpp
@@ -202,6 +202,8 @@
         return false;
     if (backend.limit && !backend.limit->allows(m_limitShare, now))
         return false;
+    if (!backend.warmup.allows(now))
+        return false;
     const bool rested = backend.restUntil != TimePoint{};
     if (rested && now < backend.restUntil + m_parameters.restRampUp)
         return backend.pending.empty();
@@ -289,7 +291,58 @@
 
 double BackendTable::limitWaitMs(const Backend &backend, TimePoint now) const
 {
-    return backend.limit ? backend.limit->waitMs(m_limitShare, now) : 0;
+    return std::max(backend.limit ? backend.limit->waitMs(m_limitShare, now) : 0,
+                    backend.warmup.waitMs(now));
+}
+
+std::optional<double> BackendTable::limitPerSecond(const Backend &backend, TimePoint now) const
+{
+    const auto warmup = backend.warmup.perSecond(now);
+    if (!backend.limit)
+        return warmup;
+    const double limit = backend.limit->perSecond(m_limitShare);
+    return warmup ? std::min(limit, *warmup) : limit;
+}
+
+void BackendTable::setWarmupRates(std::map<std::string, double> perSecond, TimePoint now)
+{
+    m_warmupRates = std::move(perSecond);
+    for (const auto &it : m_byId) {
+        if (const auto left = it.second->warmup.left(now); left > core::Millis(0))
+            startWarmup(*it.second, left, now);
+    }
+}
+
+void BackendTable::setWarmupShare(const WarmupShare &share, TimePoint now)
+{
+    m_warmupShare = share;
+    if (!anyCold(now))
+        return;
+    for (const auto &it : m_byId)
+        it.second->warmup.setShare(share, now);
+}
+
+void BackendTable::setWarmup(const std::string &id, core::Millis left, TimePoint now)
+{
+    const auto it = m_byId.find(id);
+    // The server's own response is newer than its entry.
+    if (it != m_byId.end() && !it->second->warmup.reportedRecently(now))
+        startWarmup(*it->second, left, now);
+}
+
+void BackendTable::onWarmupReport(Backend &backend, core::Millis left, TimePoint now)
+{
+    backend.warmup.onReport(now);
+    startWarmup(backend, left, now);
+}
+
+void BackendTable::startWarmup(Backend &backend, core::Millis left, TimePoint now)
+{
+    const auto rate = m_warmupRates.find(backend.record.service);
+    const double perSecond = rate == m_warmupRates.end() ? 0 : rate->second;
+    backend.warmup.set(left, perSecond, m_warmupShare, m_random, now);
+    if (perSecond > 0)
+        m_coldUntil = std::max(m_coldUntil, now + left);
 }
 
 std::optional<LatencyEstimate>
@@ -301,13 +354,14 @@
         return best;
     std::size_t inFlight = 0;
     bool limited = true;
-    double limitPerSecond = 0;
+    double totalLimit = 0;
     for (const auto &it : found->backends) {
         if (!usable(*found, *it, now))
             continue;
         inFlight += it->pending.size();
-        limited = limited && it->limit;
-        limitPerSecond += it->limit ? it->limit->perSecond(m_limitShare) : 0;
+        const auto limit = limitPerSecond(*it, now);
+        limited = limited && limit;
+        totalLimit += limit.value_or(0);
         const auto candidate = estimateAt(*found, *it, now);
         if (!best || candidate.responseMs < best->responseMs)
             best = candidate;
@@ -318,7 +372,7 @@
             static_cast<double>(waiting) / static_cast<double>(std::max<std::size_t>(inFlight, 1));
         best->responseMs *= 1 + rounds;
         if (limited)
-            best->responseMs += millisPerSecond * static_cast<double>(waiting) / limitPerSecond;
+            best->responseMs += millisPerSecond * static_cast<double>(waiting) / totalLimit;
     }
     return best;
 }
@@ -388,6 +442,7 @@
     backend.pending.push_back(now);
     if (backend.limit)
         backend.limit->onSent(m_limitShare, now);
+    backend.warmup.onSent(now);
 }
 
 void BackendTable::onEnded(Backend &backend, AttemptOutcome outcome, TimePoint sentAt,
@@ -411,6 +466,7 @@
         backend.refusals.add(true, refusalSampleWeight, now, m_parameters.refusalHalfLife);
         return;
     case AttemptOutcome::Misdirected:
+        backend.warmup.onNotCounted();
         backend.listed = false;
         return;
     case AttemptOutcome::Failed:
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "policy/forward/evacuated_zones.h"
 #include "policy/forward/request_limit.h"
+#include "policy/forward/warmup_limit.h"
 #include "policy/routing/server_table.h"
 
 #include <cstdint>
@@ -93,6 +94,8 @@
     core::TimePoint restUntil{};
     // Request rate that the server accepts, if it limits it.
     std::optional<RequestLimit> limit;
+    // Limits the requests while the server is cold.
+    WarmupLimit warmup;
     // Requests of other hosts that are running or queued at the server, from its last load report.
     double otherHostsLoad = 0;
     // Queued requests per slot, from the server's last load report.
@@ -230,6 +233,24 @@
     // Sets this host's fraction of the servers' limits, above 0 and at most 1.
     void setLimitShare(double share) { m_limitShare = share; }
 
+    // Sets the requests per second that a cold server of each service stands from all hosts; 0 or a
+    // missing service: no limit.
+    void setWarmupRates(std::map<std::string, double> perSecond, core::TimePoint now);
+
+    // Sets the tolerances of these rates and this host's share of them.
+    void setWarmupShare(const WarmupShare &share, core::TimePoint now);
+
+    // Records for how long the server with this id stays cold, from its entry; 0 if it is not cold.
+    // Unknown ids are ignored.
+    void setWarmup(const std::string &id, core::Millis left, core::TimePoint now);
+
+    // Records for how long the server stays cold, from its own response.
+    void onWarmupReport(Backend &backend, core::Millis left, core::TimePoint now);
+
+    // Returns whether any server is cold, so that waiting requests have to be tried again when its
+    // limit allows one.
+    bool anyCold(core::TimePoint now) const { return now < m_coldUntil; }
+
     // Uses no server until the first call of setEvacuated().
     void awaitEvacuations() { m_evacuated.awaitUpdate(); }
 
@@ -296,7 +317,10 @@
     // other hosts, which decay with the report's age.
     double requestsPerSlot(const Backend &backend, core::TimePoint now) const;
     double stallPenaltyMs(const Backend &backend, double expectedMs, core::TimePoint now) const;
-    // Returns the time, in ms, until the server's limit allows a request; 0 without a limit.
+    void startWarmup(Backend &backend, core::Millis left, core::TimePoint now);
+    // Returns this host's requests per second that the server's limits allow; nothing without one.
+    std::optional<double> limitPerSecond(const Backend &backend, core::TimePoint now) const;
+    // Returns the time, in ms, until the server's limits allow a request; 0 without a limit.
     double limitWaitMs(const Backend &backend, core::TimePoint now) const;
     void updateProcessingTime(Service &service, Backend &backend, double latencyMs,
                               core::TimePoint now);
@@ -313,6 +337,10 @@
     std::function<double()> m_random;
     double m_limitShare = 1;
     EvacuatedZones m_evacuated;
+    WarmupShare m_warmupShare;
+    std::map<std::string, double> m_warmupRates;
+    // Time until which a server is cold.
+    core::TimePoint m_coldUntil{};
     std::unordered_map<std::string, Service> m_services;
     std::unordered_map<std::string, BackendPtr> m_byId;
     std::unordered_map<std::string, LeavingProcess> m_leaving;
--- a/packages/policy/forward/request_limit.cpp
+++ b/packages/policy/forward/request_limit.cpp
@@ -1,6 +1,7 @@
 #include "policy/forward/request_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestline::policy::forward {
 
@@ -8,27 +9,20 @@
 
 namespace {
 
-// Fraction of the limit that the hosts divide among themselves. The remainder covers hosts that do
-// not know of the limit yet, such as restarted ones.
-constexpr double usableFraction = 0.95;
-// Lowest rate, over all hosts, at which a server gets requests: its answers tell when its limit
-// ends.
-constexpr double minPerSecond = 0.5;
-// Requests that a host may send at once after a pause, as a time at its rate.
-constexpr double burstSeconds = 0.25;
 constexpr double millisPerSecond = 1000;
 
-double usableRate(double fleetPerSecond)
-{
-    return std::max(minPerSecond, usableFraction * fleetPerSecond);
-}
-
 } // namespace
 
-RequestLimit::RequestLimit(double fleetPerSecond, TimePoint now)
-    : m_fleetPerSecond(usableRate(fleetPerSecond)), m_refilledAt(now)
+RequestLimit::RequestLimit(double fleetPerSecond, TimePoint now, RequestLimitParameters parameters)
+    : m_parameters(parameters), m_fleetPerSecond(usableRate(fleetPerSecond)),
+      m_tokens(parameters.initialTokens), m_refilledAt(now)
 { }
 
+double RequestLimit::usableRate(double fleetPerSecond) const
+{
+    return std::max(m_parameters.minPerSecond, m_parameters.usableFraction * fleetPerSecond);
+}
+
 void RequestLimit::setRate(double fleetPerSecond, double share, TimePoint now)
 {
     m_tokens = tokens(share, now);
@@ -40,7 +34,12 @@
 {
     const double rate = perSecond(share);
     const double seconds = core::toMillis(now - m_refilledAt) / millisPerSecond;
-    return std::min(std::max(1.0, burstSeconds * rate), m_tokens + seconds * rate);
+    const double kept = m_parameters.burstSeconds * rate;
+    const double total = m_tokens + seconds * rate;
+    if (!m_parameters.tokensExpire || kept >= 1)
+        return std::min(std::max(1.0, kept), total);
+    // Each whole token is lost when it is older than the time for which it is kept.
+    return total - std::max(0.0, std::floor(total - kept));
 }
 
 void RequestLimit::onSent(double share, TimePoint now)
--- a/packages/policy/forward/route.cpp
+++ b/packages/policy/forward/route.cpp
@@ -44,4 +44,12 @@
     return nullptr;
 }
 
+std::map<std::string, double> RouteTable::warmupRates() const
+{
+    std::map<std::string, double> out;
+    for (const auto &it : m_services)
+        out[it.first] = it.second.warmupPerSecond;
+    return out;
+}
+
 } // namespace goldcrestline::policy::forward
--- a/packages/policy/forward/route.h
+++ b/packages/policy/forward/route.h
@@ -91,6 +91,8 @@
     std::uint64_t version() const { return m_version; }
     const std::vector<Route> &routes() const { return m_routes; }
     const std::map<std::string, ServiceTraits> &services() const { return m_services; }
+    // Returns the requests per second that a cold server of each service stands; 0 for no limit.
+    std::map<std::string, double> warmupRates() const;
     const CallerLimits &callerLimits() const { return m_callerLimits; }
     // Returns the workspaces and their keys; null if requests need no keys.
     const access::KeyTablePtr &workspaces() const { return m_workspaces; }
--- a/packages/policy/forward/wait_queue.cpp
+++ b/packages/policy/forward/wait_queue.cpp
@@ -49,6 +49,18 @@
     return static_cast<std::size_t>(std::distance(it->second.begin(), end));
 }
 
+std::vector<std::string> WaitQueue::services() const
+{
+    std::vector<std::string> out;
+    if (m_calls.empty())
+        return out;
+    for (const auto &it : m_queues) {
+        if (!it.second.empty())
+            out.push_back(it.first);
+    }
+    return out;
+}
+
 std::vector<WaitQueue::Entry> WaitQueue::entries(const std::string &service) const
 {
     const auto it = m_queues.find(service);
--- a/packages/policy/forward/wait_queue.h
+++ b/packages/policy/forward/wait_queue.h
@@ -43,6 +43,9 @@
     // Returns how many parts ahead of `rank` are queued for the service.
     std::size_t countAhead(const std::string &service, CallRank rank) const;
 
+    // Returns the services with a queued part.
+    std::vector<std::string> services() const;
+
     // Returns the queue of the service, first entry first.
     std::vector<Entry> entries(const std::string &service) const;
 
