Name no host that ended long ago from a paused or isolated host

A host that is cut off from the others probes them one by one, and a host that was paused has not probed them at all, so that their directories named hosts that had ended for up to 30 s. While most of its last probes failed, or until it has compared its table with a running host after a pause, a host now names only itself and the hosts that were in contact with it within 4 s.

Simulated with 9, 65 and 141 hosts, cut off alone or in pairs, or paused for 10 s: no answer names a host that ended more than 8 s ago; after the return all running hosts are named.

--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -498,7 +498,7 @@
     ports::OutgoingResponse resolve(const platform::ResolveRequest &request)
     {
         const auto chosen = policy::entrypoints::selectEntryPoints(
-            m_members.all(), {request.zone, request.region}, maxAddresses,
+            m_members.confirmed(core::Clock::now()), {request.zone, request.region}, maxAddresses,
             [this](unsigned n) { return randomBelow(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
--- a/packages/daemon/peers/membership.cpp
+++ b/packages/daemon/peers/membership.cpp
@@ -149,6 +149,7 @@
     callForGossip(address, std::move(request), comparisonTimeout, now,
                   [this, address](const ports::Gossip &reply, TimePoint repliedAt) {
                       auto lacking = m_table.findByHash(reply.wanted);
+                      m_table.onCompared(repliedAt);
                       const auto superseding = m_table.findSuperseding(reply.members);
                       lacking.insert(lacking.end(), superseding.begin(), superseding.end());
                       if (lacking.empty())
@@ -166,6 +167,7 @@
         log.info("changed count=" + std::to_string(changed) + " from=" + gossip.from
                  + " live=" + std::to_string(m_table.live().size()));
     }
+    m_table.onContact(gossip.from, now);
     if (const auto *sender = m_table.find(gossip.from))
         m_hooks.onGossip(gossip, *sender, requestedAt, now);
 }
--- a/packages/policy/membership/member_table.cpp
+++ b/packages/policy/membership/member_table.cpp
@@ -16,6 +16,14 @@
 // Time without a tick, in protocol periods, after which this process is taken to have been paused.
 constexpr int pauseThresholdPeriods = 4;
 
+// Probes by which a host decides whether it still reaches the others, and the failed ones among
+// them from which it does not. Hosts that end together are at most a zone.
+constexpr std::size_t recentProbeCount = 6;
+constexpr std::ptrdiff_t minFailedProbes = 5;
+// Time for which a contact shows that a host runs, on a host that knows nothing by the others. With
+// the time to notice that, it stays below the 8 s after which an ended host must not be named.
+constexpr core::Duration contactLifetime = std::chrono::seconds(4);
+
 // Number of sendings of a record that is not spread on: above every retransmit limit.
 constexpr int notSpread = 1 << 20;
 
@@ -54,9 +62,10 @@
 std::vector<Action> MemberTable::tick(TimePoint now)
 {
     std::vector<Action> out;
-    const bool paused =
-        m_lastTickAt != TimePoint{} && now - m_lastTickAt > pauseThresholdPeriods * m_times.period;
+    const bool paused = wasPaused(now);
     if (paused) {
+        m_pausedUntil = now;
+        m_recentProbes.clear();
         // Probes that timed out while this process was paused do not indicate failures of other
         // hosts; suspects get the full suspicion timeout again.
         m_pendingProbes.clear();
@@ -72,6 +81,14 @@
         m_pendingProbes.insert(*target);
         out.push_back(Probe{*target, m_peers.at(*target).member.peersAddress});
     }
+    if (m_pausedUntil != TimePoint{}) {
+        // Hosts may have ended meanwhile, which any running one knows.
+        const auto order = live();
+        for (int i = 0; i < m_times.indirectProbeCount && order.size() > 1; ++i) {
+            const auto n = m_random(static_cast<unsigned>(order.size() - 1)) + 1;
+            out.push_back(TableSync{order[n].peersAddress, true});
+        }
+    }
     const bool noReachablePeer = std::none_of(
         m_peers.begin(), m_peers.end(), [](const auto &it) { return reachable(it.second.member); });
     const auto every = static_cast<std::uint64_t>(m_times.syncIntervalPeriods);
@@ -170,10 +187,49 @@
 {
     if (m_pendingProbes.erase(name) == 0)
         return;
+    m_recentProbes.push_back(reached);
+    if (m_recentProbes.size() > recentProbeCount)
+        m_recentProbes.pop_front();
     if (!reached)
         suspect(name, now);
 }
 
+void MemberTable::onContact(const std::string &name, TimePoint now)
+{
+    const auto it = m_peers.find(name);
+    if (it != m_peers.end())
+        it->second.contactAt = now;
+}
+
+void MemberTable::onCompared(TimePoint now)
+{
+    if (!wasPaused(now))
+        m_pausedUntil = {};
+}
+
+bool MemberTable::wasPaused(TimePoint now) const
+{
+    return m_lastTickAt != TimePoint{}
+    && now - m_lastTickAt > pauseThresholdPeriods * m_times.period;
+}
+
+bool MemberTable::isIsolated() const
+{
+    return std::count(m_recentProbes.begin(), m_recentProbes.end(), false) >= minFailedProbes;
+}
+
+std::vector<Member> MemberTable::confirmed(TimePoint now) const
+{
+    if (!wasPaused(now) && m_pausedUntil == TimePoint{} && !isIsolated())
+        return all();
+    std::vector<Member> out{m_self};
+    for (const auto &it : m_peers) {
+        if (it.second.contactAt != TimePoint{} && now - it.second.contactAt <= contactLifetime)
+            out.push_back(it.second.member);
+    }
+    return out;
+}
+
 void MemberTable::suspect(const std::string &name, TimePoint now)
 {
     const auto it = m_peers.find(name);
@@ -227,7 +283,7 @@
             // other's messages, so that it was never removed everywhere.
             if (update.state == MemberState::Dead)
                 continue;
-            m_peers[update.name] = {update, now, timesSent};
+            m_peers[update.name] = {update, now, timesSent, {}};
             ++changed;
             continue;
         }
@@ -240,7 +296,7 @@
         if (it->second.member.state == MemberState::Dead && reachable(update)
             && update.incarnation == it->second.member.incarnation)
             ++m_falseDeaths;
-        it->second = {update, now, timesSent};
+        it->second = {update, now, timesSent, it->second.contactAt};
         ++changed;
     }
     return changed;
--- a/packages/policy/membership/member_table.h
+++ b/packages/policy/membership/member_table.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "policy/membership/member.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -138,6 +139,18 @@
     // Returns the records of the hosts that are alive or suspect, this one included.
     std::vector<Member> live() const;
 
+    // Records that a host answered or called this one.
+    void onContact(const std::string &name, core::TimePoint now);
+
+    // Records that this host's table holds all that another running host knows: the tables were
+    // compared.
+    void onCompared(core::TimePoint now);
+
+    // Returns the records that may be named to callers. While this host cannot know which hosts
+    // have ended, since it was paused or reaches hardly any of them, these are its own one and
+    // those of hosts that were in contact with it a short time ago.
+    std::vector<Member> confirmed(core::TimePoint now) const;
+
     // Returns the number of known hosts, this one included. Dead and stopped hosts count until
     // their records are removed.
     std::size_t knownCount() const { return m_peers.size() + 1; }
@@ -158,8 +171,13 @@
         core::TimePoint changedAt{};
         // Messages that have carried the current record.
         int timesSent = 0;
+        // Last direct contact.
+        core::TimePoint contactAt{};
     };
 
+    // Returns whether this process did not run for a time before `now`.
+    bool wasPaused(core::TimePoint now) const;
+    bool isIsolated() const;
     void suspect(const std::string &name, core::TimePoint now);
     void expire(core::TimePoint now);
     void recordHandover(const Member &member, core::TimePoint now);
@@ -191,6 +209,10 @@
     std::set<std::string> m_pendingProbes;
     core::TimePoint m_lastTickAt{};
     std::uint64_t m_tickCount = 0;
+    // End of the last pause; zero once the tables were compared since.
+    core::TimePoint m_pausedUntil{};
+    // Whether the last probes reached their hosts, newest last.
+    std::deque<bool> m_recentProbes;
     std::uint64_t m_falseDeaths = 0;
 };
 
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -86,6 +86,8 @@
         auto &b = *tables[static_cast<std::size_t>(to)];
         send(a, b, a.selectUpdates(b.self().zone), false);
         send(b, a, b.selectUpdates(a.self().zone), false);
+        a.onContact(name(to), now);
+        b.onContact(name(from), now);
         return true;
     }
 
@@ -102,6 +104,8 @@
         send(b, a, missing, true);
         send(a, b, a.findByHash(unknown), true);
         send(a, b, a.findSuperseding(missing), true);
+        a.onContact(name(to), now);
+        a.onCompared(now);
     }
 
     void syncTables(int from, int to, bool skipDigest)
@@ -546,3 +550,104 @@
     // server's limit.
     CHECK(before + after <= serverLimit + 1);
 }
+
+namespace {
+
+// Time after its end from which a host must not be named, that is contact_ms + 3 s.
+constexpr auto namedAtMost = 8s;
+
+// Returns whether host `i` names, at this moment, a host that ended more than 8 s ago.
+bool namesEndedHost(const Hosts &hosts, std::size_t i, const std::map<std::string, TimePoint> &ends)
+{
+    const auto named = policy::entrypoints::eligibleHosts(hosts.tables[i]->confirmed(hosts.now));
+    return std::any_of(named.begin(), named.end(), [&](const Member &it) {
+        const auto end = ends.find(it.name);
+        return end != ends.end() && hosts.now - end->second > namedAtMost;
+    });
+}
+
+// Runs the hosts and returns how often one of them named such a host.
+int countNamedEnded(Hosts &hosts, const std::map<std::string, TimePoint> &ends, core::Duration time)
+{
+    int count = 0;
+    for (const auto end = hosts.now + time; hosts.now < end;) {
+        hosts.run(300ms);
+        for (std::size_t i = 0; i < hosts.tables.size(); ++i) {
+            if (hosts.tables[i] && hosts.paused.count(static_cast<int>(i)) == 0)
+                count += namesEndedHost(hosts, i, ends) ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+void end(Hosts &hosts, const std::vector<int> &ended, std::map<std::string, TimePoint> &ends)
+{
+    for (const int i : ended) {
+        hosts.tables[static_cast<std::size_t>(i)].reset();
+        ends[Hosts::name(i)] = hosts.now;
+    }
+}
+
+} // namespace
+
+// Guards against callers that are directed to hosts which ended long ago, by a host that is cut off
+// from its peers and probes them one by one.
+TEST_CASE("directories of connected and cut off hosts name no ended host", "[membership]")
+{
+    for (const int n : {9, 65, 141}) {
+        for (const int together : {1, 2}) {
+            CAPTURE(n, together);
+            Hosts hosts(n);
+            hosts.run(30s);
+            std::map<std::string, TimePoint> ends;
+            // The hosts that are cut off from the others do reach each other.
+            for (int a = 3; a < 3 + together; ++a) {
+                for (int b = 0; b < n; ++b) {
+                    if (b < 3 || b >= 3 + together)
+                        hosts.cutLinks.insert({a, b});
+                }
+            }
+            end(hosts, {5, 6, 7}, ends);
+            CHECK(countNamedEnded(hosts, ends, 30s) == 0);
+        }
+    }
+}
+
+TEST_CASE("a paused host names no host that ended meanwhile, from its return on", "[membership]")
+{
+    for (const int n : {9, 65, 141}) {
+        CAPTURE(n);
+        Hosts hosts(n);
+        hosts.run(30s);
+        std::map<std::string, TimePoint> ends;
+        hosts.paused = {4};
+        end(hosts, {5, 6, 7}, ends);
+        hosts.run(10s);
+        hosts.paused.clear();
+        // Requests that arrived during the pause are answered before the first tick.
+        CHECK_FALSE(namesEndedHost(hosts, 4, ends));
+        CHECK(hosts.tables[4]->confirmed(hosts.now).size() >= 1);
+        CHECK(countNamedEnded(hosts, ends, 20s) == 0);
+        const auto named = hosts.tables[4]->confirmed(hosts.now);
+        CHECK(policy::entrypoints::eligibleHosts(named).size() == static_cast<std::size_t>(n) - 3);
+    }
+}
+
+// Guards against hosts that name only themselves after the loss of a zone, of which most of their
+// probes may have gone to.
+TEST_CASE("directories name the remaining hosts after the loss of a zone", "[membership]")
+{
+    Hosts hosts(65);
+    hosts.run(30s);
+    std::map<std::string, TimePoint> ends;
+    std::vector<int> zone;
+    for (int i = 2; i < 65; i += 3)
+        zone.push_back(i);
+    end(hosts, zone, ends);
+    CHECK(countNamedEnded(hosts, ends, 20s) == 0);
+    for (const int i : {0, 1})
+        CHECK(policy::entrypoints::eligibleHosts(
+                  hosts.tables[static_cast<std::size_t>(i)]->confirmed(hosts.now))
+                  .size()
+              == 65 - zone.size());
+}
