--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -254,6 +254,7 @@
         m_quota.update(m_members, m_admission.counters().requests, now);
         m_workspaceQuota.setMembers(m_members.all(), now);
         m_backends.setLimitShare(m_quota.demandShare());
+        m_backends.setWarmupShare(m_quota.warmupShare(), now);
         m_forward.setExtraBurst(m_quota.extraBurst());
         m_backendClient.setIdleTimeout(
             m_quota.receivesCallerTraffic() ? ExchangeOptions().idleTimeout : standbyIdleTimeout);
@@ -398,6 +399,7 @@
         if (m_relayServer)
             m_relayServer->setLimits(relayLimits(limits));
         m_workspaceQuota.setWorkspaces(table->workspaces(), core::Clock::now());
+        m_backends.setWarmupRates(table->warmupRates(), core::Clock::now());
         m_admission.setRoutes(std::move(table));
     }
 
@@ -519,7 +521,7 @@
     ports::OutgoingResponse resolve(const platform::ResolveRequest &request)
     {
         const auto chosen = policy::entrypoints::selectEntryPoints(
-            m_members.all(), {request.zone, request.region}, maxAddresses,
+            m_members.confirmed(core::Clock::now()), {request.zone, request.region}, maxAddresses,
             [this](unsigned n) { return randomBelow(n); });
         std::vector<std::string> addresses;
         for (const auto &it : chosen) {
