Share the servers among workspaces while slots are short

Cause: requests of a priority were ordered and admitted by age alone.

ServiceUse weighs the queueing at servers by each workspace's recent work and by the objectives of more urgent requests, so that those above their share are refused at once. Requests of a configuration without workspaces are not added and keep the order by age.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -69,7 +69,7 @@
         return m_backends.hasUsable(service, exclude, now) || !m_hostHooks.serversKnown();
     };
     m_hooks.estimateLatency = [this](const std::string &service, CallRank rank, TimePoint now) {
-        return m_backends.estimateLatency(service, m_waitQueue.countAhead(service, rank), now);
+        return m_fair.estimateLatency(service, rank, now);
     };
     m_hooks.availableAgainAt = [this](const std::string &service, TimePoint now) {
         return m_backends.availableAgainAt(service, now);
@@ -163,9 +163,16 @@
         services.push_back(m_trafficSplit.next(route));
     const auto parts = services.size();
     const auto id = ++m_lastCall;
-    const CallRank rank{request.priority, 0, id};
+    const auto times = makeCallTimes(request);
+    CallRank rank{request.priority, 0, id};
+    // Without workspaces, calls of a priority are served by age.
+    if (request.table->workspaces()) {
+        rank = m_fair.begin(
+            id, {request.priority, request.workspace, route.name, services, times.objectiveAt},
+            now);
+    }
     auto running = std::make_unique<RunningCall>(
-        Call(request.table, route, std::move(services), rank, makeCallTimes(request), m_hooks),
+        Call(request.table, route, std::move(services), rank, times, m_hooks),
         std::move(call.respond));
     running->requestId = request.metadata.requestId;
     running->workspace = std::move(request.workspace);
@@ -220,6 +227,7 @@
     }
     ++m_counters.attempts;
     m_backends.onSent(*sendAction.backend, now);
+    m_fair.onSent(id, sendAction.backend->record.service, now);
     auto &attempt = m_attempts[sendAction.attempt];
     attempt.call = id;
     attempt.requestId = running.requestId;
@@ -420,6 +428,7 @@
     logOutcome(running, finish, now);
     detachAttempts(id, now + detachedAttemptGrace, false);
     m_waitQueue.remove(id, running.call);
+    m_fair.onEnded(id, finish.outcome, now);
     m_timers.erase({running.timerAt, id});
     m_byHttpCall.erase(running.httpCallId);
     const auto ended = std::move(m_calls[id]);
@@ -534,6 +543,7 @@
     log.info("caller disconnected id=" + running.requestId);
     detachAttempts(id, now + detachedAttemptGrace, true);
     m_waitQueue.remove(id, running.call);
+    m_fair.onEnded(id, std::nullopt, now);
     m_timers.erase({running.timerAt, id});
     m_byHttpCall.erase(known);
     m_calls.erase(id);
@@ -595,7 +605,7 @@
 void ForwardService::dispatchWaiting(const std::string &service, TimePoint now)
 {
     // Iterates over a copy, because each call may change the queue.
-    for (const auto &entry : m_waitQueue.entries(service)) {
+    for (const auto &entry : m_fair.dispatchOrder(service, now)) {
         if (m_backends.countAvailable(service, now) == 0)
             return;
         const auto call = m_calls.find(entry.call);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -9,6 +9,7 @@
 #include "policy/forward/backend_table.h"
 #include "policy/forward/call.h"
 #include "policy/forward/elapsed_time.h"
+#include "policy/forward/fair_admission.h"
 #include "policy/forward/hedge_delay.h"
 #include "policy/forward/route.h"
 #include "policy/forward/wait_queue.h"
@@ -230,6 +231,7 @@
     // Timers of the calls in progress.
     std::set<std::pair<core::TimePoint, std::uint64_t>> m_timers;
     policy::forward::WaitQueue m_waitQueue;
+    policy::forward::FairAdmission m_fair{m_backends, m_waitQueue};
     policy::forward::AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastCall = 0;
     ForwardCounters m_counters;
--- a/packages/policy/forward/backend_table.h
+++ b/packages/policy/forward/backend_table.h
@@ -106,6 +106,10 @@
     double responseMs = 0;
     // The server's processing time within responseMs; the rest is queueing.
     double processingMs = 0;
+    // Factor by which the fair order weighs the servers' queueing within responseMs.
+    double queueWeight = 1;
+    // For a workspace above the mean share: half-life of its recorded work, in ms; else 0.
+    double shareHalfLifeMs = 0;
 };
 
 // Parameters of server selection and outlier ejection.
--- a/packages/policy/forward/call.cpp
+++ b/packages/policy/forward/call.cpp
@@ -1,6 +1,7 @@
 #include "policy/forward/call.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestline::policy::forward {
 
@@ -19,6 +20,20 @@
 // Time until a part that found no server capacity, or no retry budget, tries again.
 constexpr core::Duration retryInterval = std::chrono::milliseconds(10);
 
+// Returns the time until a request with this estimate, which is late now, would be in time.
+core::Duration timeUntilInTime(const LatencyEstimate &estimate, double remainingMs)
+{
+    const double lateMs = estimate.responseMs - remainingMs;
+    // Queues shrink by their own time, not by the weighted one.
+    double waitMs = lateMs / std::max(1.0, estimate.queueWeight);
+    // The queueing of a workspace above its share is weighted until its recent work has decayed.
+    const double queueingMs = estimate.responseMs - estimate.processingMs;
+    if (estimate.shareHalfLifeMs > 0 && queueingMs > lateMs)
+        waitMs += estimate.shareHalfLifeMs * std::log2(queueingMs / (queueingMs - lateMs));
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double, std::milli>(waitMs));
+}
+
 } // namespace
 
 Call::Call(RouteTablePtr table, const Route &route, std::vector<std::string> services,
@@ -77,10 +92,7 @@
             --possible;
         } else if (shouldRefuse(it.estimate, now)) {
             // The estimates are in descending order, so that no needed part takes longer.
-            return refuse(std::chrono::duration_cast<core::Duration>(
-                              std::chrono::duration<double, std::milli>(it.estimate.responseMs
-                                                                        - remainingMs)),
-                          out);
+            return refuse(timeUntilInTime(it.estimate, remainingMs), out);
         }
     }
     if (!meetsMinShare(possible))
--- a/packages/policy/forward/wait_queue.cpp
+++ b/packages/policy/forward/wait_queue.cpp
@@ -1,17 +1,27 @@
 #include "policy/forward/wait_queue.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace goldcrestline::policy::forward {
 
+namespace {
+
+// One of this many freed slots goes to an overdue call of a lower priority.
+constexpr int overdueTurn = 5;
+
+} // namespace
+
 void WaitQueue::update(std::uint64_t id, const Call &call)
 {
     const bool waits = call.hasWaitingParts();
     if (!waits && m_calls.count(id) == 0)
         return;
     const auto &services = call.services();
+    const auto &times = call.times();
+    const auto overdueAt = times.startedAt + (times.refuseAt - times.startedAt) / 2;
     for (std::size_t part = 0; part < services.size(); ++part) {
-        const Entry entry{call.rank(), id, part};
+        const Entry entry{call.rank(), id, part, overdueAt};
         if (call.isQueued(part)) {
             m_queues[services[part]].insert(entry);
         } else {
@@ -31,11 +41,13 @@
         return;
     const auto &services = call.services();
     for (std::size_t part = 0; part < services.size(); ++part)
-        m_queues[services[part]].erase({call.rank(), id, part});
+        m_queues[services[part]].erase({call.rank(), id, part, {}});
 }
 
 bool WaitQueue::hasAhead(const std::string &service, CallRank rank) const
 {
+    if (m_preferred != 0 && rank.sequence == m_preferred && service == m_preferredService)
+        return false;
     const auto it = m_queues.find(service);
     return it != m_queues.end() && !it->second.empty() && it->second.begin()->rank < rank;
 }
@@ -45,7 +57,7 @@
     const auto it = m_queues.find(service);
     if (it == m_queues.end())
         return 0;
-    const auto end = it->second.lower_bound({rank, 0, 0});
+    const auto end = it->second.lower_bound({rank, 0, 0, {}});
     return static_cast<std::size_t>(std::distance(it->second.begin(), end));
 }
 
@@ -57,4 +69,31 @@
     return {it->second.begin(), it->second.end()};
 }
 
+std::vector<WaitQueue::Entry> WaitQueue::dispatchOrder(const std::string &service,
+                                                       core::TimePoint now)
+{
+    m_preferred = 0;
+    auto out = entries(service);
+    if (out.empty())
+        return out;
+    const int first = out.front().rank.priority;
+    auto oldest = out.end();
+    for (auto it = out.begin(); it != out.end(); ++it) {
+        if (it->rank.priority == first || now < it->overdueAt)
+            continue;
+        if (oldest == out.end() || it->rank.sequence < oldest->rank.sequence)
+            oldest = it;
+    }
+    if (oldest == out.end())
+        return out;
+    auto &passedOver = m_passedOver[service];
+    if (++passedOver < overdueTurn)
+        return out;
+    passedOver = 0;
+    m_preferred = oldest->rank.sequence;
+    m_preferredService = service;
+    std::rotate(out.begin(), oldest, std::next(oldest));
+    return out;
+}
+
 } // namespace goldcrestline::policy::forward
--- a/packages/policy/forward/wait_queue.h
+++ b/packages/policy/forward/wait_queue.h
@@ -13,7 +13,7 @@
 namespace goldcrestline::policy::forward {
 
 // Priority queues of the call parts that wait for a server, one for each service, ordered by
-// priority and then by age. Not thread-safe.
+// priority, then by the start tags of fair shares, then by age. Not thread-safe.
 class WaitQueue
 {
 public:
@@ -23,6 +23,8 @@
         CallRank rank;
         std::uint64_t call = 0;
         std::size_t part = 0;
+        // Half of the time is over after which the call is refused.
+        core::TimePoint overdueAt{};
 
         bool operator<(const Entry &other) const
         {
@@ -46,8 +48,19 @@
     // Returns the queue of the service, first entry first.
     std::vector<Entry> entries(const std::string &service) const;
 
+    // Returns the queue in the order in which free capacity is offered: in one of five calls, the
+    // oldest overdue part of a lower priority than the first entry's comes first. hasAhead()
+    // ignores the calls ahead of that part until the next call of this function.
+    std::vector<Entry> dispatchOrder(const std::string &service, core::TimePoint now);
+
 private:
     std::unordered_map<std::string, std::set<Entry>> m_queues;
+    // For each service, the calls of dispatchOrder() with an overdue part since the last one that
+    // was preferred.
+    std::unordered_map<std::string, int> m_passedOver;
+    // The service and the sequence number of the call that is preferred there; 0 for none.
+    std::string m_preferredService;
+    std::uint64_t m_preferred = 0;
     // Calls with waiting parts.
     std::unordered_set<std::uint64_t> m_calls;
 };
