--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -84,10 +84,8 @@
     };
     m_hooks.permission = [this](std::uint64_t id, TimePoint now) { return permission(id, now); };
     m_hooks.leavesOut = [this](std::uint64_t id, const auto &service, bool broke, TimePoint now) {
-        const auto handling = m_quarantine.empty()
-            ? Handling::Normal
-            : m_quarantine.handling(m_calls.at(id)->content->digestAt(service), now);
-        return handling >= Handling::Paused || (broke && handling == Handling::OneCall);
+        return !m_quarantine.empty()
+            && m_quarantine.leavesOut(m_calls.at(id)->content->digestAt(service), broke, now);
     };
     m_hooks.nextAttempt = [this] { return ++m_lastAttempt; };
 }
@@ -234,7 +232,8 @@
     attempt.requestId = running.requestId;
     attempt.content = running.content;
     attempt.route = running.call.route().name;
-    attempt.isPart = running.call.route().fansOut();
+    if (running.call.route().fansOut())
+        attempt.partAt = sendAction.backend->record.service;
     attempt.backend = sendAction.backend;
     attempt.sentAt = now;
     attempt.exchange =
@@ -299,11 +298,8 @@
         m_crashMonitor.onNotReached(*attempt.backend, now);
     // A request that another server ran to its end does not crash servers.
     if (result.connectionEnded && (running == nullptr || !running->call.completedAnywhere())) {
-        auto digests = attempt.content->digests();
-        if (attempt.isPart)
-            digests.insert(digests.begin(),
-                           attempt.content->digestAt(attempt.backend->record.service));
-        Interruption interruption{std::move(digests), attempt.requestId, attempt.sentAt, nullptr};
+        Interruption interruption{attempt.content->digestsOfAttempt(attempt.partAt),
+                                  attempt.requestId, attempt.sentAt, nullptr};
         if (running != nullptr) {
             ++running->attemptsHeld;
             interruption.resume = [this, id, callId = attempt.call](ServerState state,
@@ -321,13 +317,12 @@
     running->call.onError(id, reached ? error : AttemptError::NotReached, now, actions);
     apply(attempt.call, actions, now);
     // It may still crash the servers of this service.
-    if (result.connectionEnded && attempt.isPart) {
-        m_crashMonitor.onInterrupted(attempt.backend,
-                                     {{attempt.content->digestAt(attempt.backend->record.service)},
-                                      attempt.requestId,
-                                      attempt.sentAt,
-                                      nullptr},
-                                     now);
+    if (result.connectionEnded && !attempt.partAt.empty()) {
+        Interruption part{{attempt.content->digestAt(attempt.partAt)},
+                          attempt.requestId,
+                          attempt.sentAt,
+                          nullptr};
+        m_crashMonitor.onInterrupted(attempt.backend, std::move(part), now);
     }
 }
 
@@ -353,12 +348,8 @@
     if (!completed || m_quarantine.empty())
         return;
     bool refuted = false;
-    for (const auto &it : attempt.content->digests())
+    for (const auto &it : attempt.content->digestsOfAttempt(attempt.partAt))
         refuted |= m_quarantine.onCompleted(it, now);
-    if (attempt.isPart) {
-        refuted |= m_quarantine.onCompleted(
-            attempt.content->digestAt(attempt.backend->record.service), now);
-    }
     if (refuted) {
         log.info("server completed a suspected request id=" + attempt.requestId + " request="
                  + attempt.content->digests().back() + " server=" + attempt.backend->record.id);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -149,8 +149,8 @@
         std::string requestId;
         policy::quarantine::RequestContentPtr content;
         std::string route;
-        // The attempt is one part of a fan-out.
-        bool isPart = false;
+        // Service of one part of a fan-out; empty on other routes.
+        std::string partAt;
         policy::forward::BackendPtr backend;
         ports::ExchangeId exchange = 0;
         core::TimePoint sentAt{};
--- a/packages/policy/quarantine/request_content.cpp
+++ b/packages/policy/quarantine/request_content.cpp
@@ -52,4 +52,12 @@
     return m_digests;
 }
 
+std::vector<std::string> RequestContent::digestsOfAttempt(const std::string &service) const
+{
+    auto out = digests();
+    if (!service.empty())
+        out.insert(out.begin(), digestAt(service));
+    return out;
+}
+
 } // namespace goldcrestline::policy::quarantine
--- a/packages/policy/quarantine/request_content.h
+++ b/packages/policy/quarantine/request_content.h
@@ -26,6 +26,10 @@
     // not clear it, so that it shows a request which crashes the servers of one service only.
     std::string digestAt(const std::string &service) const { return digests()[1] + '@' + service; }
 
+    // Returns the digests of an attempt: the one at its service, unless `service` is empty, and
+    // those of the request.
+    std::vector<std::string> digestsOfAttempt(const std::string &service) const;
+
 private:
     std::string m_caller;
     std::string m_method;
--- a/packages/policy/quarantine/request_quarantine.cpp
+++ b/packages/policy/quarantine/request_quarantine.cpp
@@ -87,6 +87,12 @@
     return out;
 }
 
+bool RequestQuarantine::leavesOut(const std::string &digest, bool broke, TimePoint now) const
+{
+    const auto current = handling(digest, now);
+    return current >= Handling::Paused || (broke && current == Handling::OneCall);
+}
+
 std::size_t RequestQuarantine::crashes(const std::string &request) const
 {
     const auto it = m_requests.find(request);
--- a/packages/policy/quarantine/request_quarantine.h
+++ b/packages/policy/quarantine/request_quarantine.h
@@ -103,6 +103,10 @@
     // Returns the most cautious handling of the digests.
     Handling handling(const std::vector<std::string> &digests, core::TimePoint now) const;
 
+    // Returns whether a fan-out leaves out a service whose servers its request crashes, by the
+    // digest of the request at that service. `broke`: an attempt of the call broke there.
+    bool leavesOut(const std::string &digest, bool broke, core::TimePoint now) const;
+
     // Returns when this host may try a blocked request again; the zero time if it is not blocked.
     core::TimePoint blockedUntil(const std::string &request) const;
 
