--- a/tests/unit/workspace_quota_test.cpp
+++ b/tests/unit/workspace_quota_test.cpp
@@ -2,8 +2,6 @@
 #include "daemon/forward/workspace_quota.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <queue>
 #include <random>
@@ -511,9 +509,8 @@
         std::rotate(loads.begin(), loads.begin() + *rc::gen::inRange(0, 4), loads.end());
         Fleet fleet(n, std::move(loads), seed, network);
         const double worst = worstExcess(fleet, fault);
-        if (std::getenv("QUOTA_TRACE") != nullptr)
-            std::cout << faultNames[static_cast<int>(fault)] << " n=" << n
-                      << " loss=" << network.loss << " worst=" << worst << '\n';
+        RC_LOG() << faultNames[static_cast<int>(fault)] << " hosts=" << n
+                 << " loss=" << network.loss << " worst=" << worst;
         RC_ASSERT(worst <= 1.0);
     });
 }
