--- a/tests/process/quotas_test.cpp
+++ b/tests/process/quotas_test.cpp
@@ -128,7 +128,8 @@
             lender = i;
     }
 
-    // For 1.5 s after its start, a host counts as one of `hosts_at_most` (12) and lends only its part.
+    // For 1.5 s after its start, a host counts as one of `hosts_at_most` (12) and lends only its
+    // part.
     std::this_thread::sleep_for(1500ms);
     WorkspaceLoad greedy(cluster, "greedy", 5 * rate);
     WorkspaceLoad modest(cluster, "modest", 5);
