Start with an even share of the requests to cold servers

A host that has just started took 1 / hosts_at_most and grew from there by 5% per second, so that after a restart of the few hosts that get callers only a tenth of the rate of cold servers would have been used for most of a minute. It now begins with an even share among the hosts that callers are directed to.

--- a/packages/daemon/forward/fleet_quota.cpp
+++ b/packages/daemon/forward/fleet_quota.cpp
@@ -43,9 +43,13 @@
     m_demand.onRequests(requests, now);
     m_demand.update(others, now);
     std::vector<std::string> names;
+    names.reserve(live.size());
     for (const auto &it : live)
         names.push_back(it.name);
-    m_warmup.update(m_demand.share(), m_demand.perSecond(), names, m_minHosts, now);
+    // A host that has just started and knows no other one may be one of many.
+    const auto hosts = names.size() > 1 ? others.size() + 1 : m_minHosts;
+    m_warmup.update(m_demand.share(), m_demand.perSecond(), names, 1 / static_cast<double>(hosts),
+                    now);
     m_warmupShare.share = m_warmup.share();
     m_warmupShare.requestsPerSecond = m_warmup.requestsPerSecond();
 }
--- a/packages/policy/forward/warmup_share.h
+++ b/packages/policy/forward/warmup_share.h
@@ -27,11 +27,11 @@
 {
 public:
     // Recomputes the share. `demandShare`: this host's share of the requests of the live hosts,
-    // `requestsPerSecond`: its requests.
-    // `live`: the names of all live hosts, this one included. `maxHosts`: the number of hosts to
-    // assume while this host may not know all of them. Call once per membership period.
+    // `requestsPerSecond`: its requests. `live`: the names of all live hosts, this one included.
+    // `evenShare`: the share to use while this host does not know the demands. Call once per
+    // membership period.
     void update(double demandShare, double requestsPerSecond, const std::vector<std::string> &live,
-                std::size_t maxHosts, core::TimePoint now);
+                double evenShare, core::TimePoint now);
 
     // Returns the share, above 0 and at most 1; 0 before the first update().
     double share() const { return m_share; }
--- a/tests/unit/warmup_limit_test.cpp
+++ b/tests/unit/warmup_limit_test.cpp
@@ -180,7 +180,8 @@
         }
         host.share.update(names, now);
         names.emplace_back("self");
-        host.warmup.update(host.share.share(), host.share.perSecond(), names, names.size(), now);
+        host.warmup.update(host.share.share(), host.share.perSecond(), names,
+                           1 / static_cast<double>(names.size()), now);
         host.backends->setWarmupShare(
             {host.warmup.share(), host.warmup.requestsPerSecond(), overshoot, slack}, now);
     }
@@ -268,8 +269,8 @@
     }
 }
 
-// Guards against a bound that leaves cold servers idle while requests wait. The hosts have run for a
-// minute, so that their shares are those of their demands.
+// Guards against a bound that leaves cold servers idle while requests wait. The hosts have run for
+// a minute, so that their shares are those of their demands.
 TEST_CASE("cold servers get most of the requests that they stand")
 {
     for (const std::size_t hosts : {6, 65}) {
