Count requests by workspace and log what refused them

Cause: operators could not tell which workspace was refused, and why. Lines of refused calls carry the workspace, its priority and the weights of its share.

--- a/packages/cli/status_command.cpp
+++ b/packages/cli/status_command.cpp
@@ -6,6 +6,8 @@
 #include "core/result.h"
 
 #include <iostream>
+#include <sstream>
+#include <string_view>
 
 namespace goldcrestline::cli {
 
@@ -27,13 +29,37 @@
     return status.is_discarded() ? json(nullptr) : status;
 }
 
+// Prints the counters by workspace of a host that forwards the platform's routes; returns whether
+// the host at `control` has metrics of such a host.
+bool printRouteStatus(HttpClient &client, const std::string &control)
+{
+    constexpr std::string_view prefix = "goldcrestline_";
+    Transfer transfer;
+    transfer.url = "http://" + control + "/v1/metrics";
+    const auto result = fetch(client, std::move(transfer));
+    if (result.outcome != TransferOutcome::Answered)
+        return false;
+    std::istringstream lines(result.body);
+    bool known = false;
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.starts_with(prefix))
+            continue;
+        line.erase(0, prefix.size());
+        known |= line.starts_with("configuration_version ");
+        if (line.starts_with("configuration_version ") || line.starts_with("members ")
+            || line.starts_with("requests_") || line.starts_with("workspace_"))
+            std::cout << line << '\n';
+    }
+    return known;
+}
+
 } // namespace
 
 std::vector<HostReport> readFleetStatus(HttpClient &client, const std::string &control)
 {
     std::vector<HostReport> reports;
     const auto first = readStatus(client, control);
-    if (first.is_null())
+    if (!first.is_object() || !first.contains("members"))
         return reports;
     for (const auto &it : first.at("members")) {
         const auto state = it.value("state", "");
@@ -61,6 +87,8 @@
     const auto host = (*parsed)["host"].as<std::string>();
     const auto reports = readFleetStatus(client, host);
     if (reports.empty()) {
+        if (parsed->count("json") == 0 && printRouteStatus(client, host))
+            return ExitDone;
         std::cerr << core::Error{core::ResultCode::HostUnreachable, host}.text() << '\n';
         return ExitRefused;
     }
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -208,7 +208,9 @@
             [](const std::string &, TimePoint) {},
             [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
                 m_reach.onAttempt(backend, responded, now);
-            }};
+            },
+            [this](const std::string &workspace, policy::forward::CallOutcome outcome,
+                   TimePoint now) { m_admission.onCallEnded(workspace, outcome, now); }};
     }
 
     RequestAdmission::Hooks admissionHooks()
@@ -484,7 +486,8 @@
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200,
                 {{"Content-Type", "text/plain"}},
-                formatMetrics(gauges, m_forward.counters(), m_admission.counters())};
+                formatMetrics(gauges, m_forward.counters(), m_admission.counters(),
+                              m_admission.workspaceCounters(), core::Clock::now())};
     }
 
     bool ready() const
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -429,6 +429,7 @@
     detachAttempts(id, now + detachedAttemptGrace, false);
     m_waitQueue.remove(id, running.call);
     m_fair.onEnded(id, finish.outcome, now);
+    m_hostHooks.onCallEnded(running.workspace, finish.outcome, now);
     m_timers.erase({running.timerAt, id});
     m_byHttpCall.erase(running.httpCallId);
     const auto ended = std::move(m_calls[id]);
@@ -515,6 +516,8 @@
         finish.outcome == CallOutcome::Passed || finish.outcome == CallOutcome::Merged;
     if (succeeded && finish.parts.size() == running.parts.size())
         return log.debug(line);
+    if (finish.outcome == CallOutcome::Refused)
+        line += m_fair.describe(call.rank().sequence, now);
     for (const auto &it : call.describeParts(now))
         line += " " + it;
     log.info(line);
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -61,6 +61,10 @@
     // Called for each attempt that ended, with a response of the server or without.
     std::function<void(const policy::forward::Backend &, bool responded, core::TimePoint now)>
         onAttemptEnded;
+    // Called for each call that ended with an outcome; the workspace is empty without a key.
+    std::function<void(const std::string &workspace, policy::forward::CallOutcome,
+                       core::TimePoint now)>
+        onCallEnded;
 };
 
 // A caller's request that may be forwarded.
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters,
-                          const AdmissionCounters &admission)
+                          const AdmissionCounters &admission, const WorkspaceCounters &workspaces,
+                          core::TimePoint now)
 {
     std::string out;
     appendLine(out, "configuration_version", gauges.version);
@@ -64,7 +65,7 @@
     }
     cumulative += counters.latency.back();
     appendLine(out, "latency_ms_bucket{le=\"+Inf\"}", cumulative);
-    return out;
+    return out + workspaces.format(now);
 }
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -46,6 +46,7 @@
 
 // Returns the metrics in text form, with one name and value per line. Thread-safe.
 std::string formatMetrics(const HostGauges &gauges, const ForwardCounters &counters,
-                          const AdmissionCounters &admission);
+                          const AdmissionCounters &admission, const WorkspaceCounters &workspaces,
+                          core::TimePoint now);
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/daemon/forward/request_admission.cpp
+++ b/packages/daemon/forward/request_admission.cpp
@@ -42,7 +42,7 @@
     if (!m_table->workspaces())
         return m_hooks.forward(std::move(request), now);
     bool allowed = true;
-    const auto *workspace = authenticate(request, allowed);
+    const auto *workspace = authenticate(request, allowed, now);
     if (!allowed)
         return;
     if (workspace == nullptr)
@@ -65,7 +65,8 @@
                        });
 }
 
-const Workspace *RequestAdmission::authenticate(AdmittedRequest &request, bool &allowed)
+const Workspace *RequestAdmission::authenticate(AdmittedRequest &request, bool &allowed,
+                                                TimePoint now)
 {
     auto &httpRequest = request.call.request;
     const auto key = platform::readKey(httpRequest);
@@ -74,12 +75,15 @@
         request.keyDigest = policy::access::digestOf(key);
         workspace = request.table->workspaces()->findByDigest(request.keyDigest);
     }
-    platform::setWorkspace(httpRequest, workspace != nullptr ? workspace->name : std::string());
+    const auto name = workspace != nullptr ? workspace->name : std::string();
+    platform::setWorkspace(httpRequest, name);
+    m_workspaces.add(name, WorkspaceEvent::Request, now);
     if (workspace == nullptr) {
         allowed = request.route->anonymous;
         if (allowed)
             return nullptr;
         ++m_counters.unknownKey;
+        m_workspaces.add(name, WorkspaceEvent::UnknownKey, now);
         log.info("unknown key id=" + request.metadata.requestId + " route=" + request.route->name
                  + " version=" + std::to_string(request.table->version()));
         request.call.respond(errorResponseFor(ResultCode::UnknownKey));
@@ -89,6 +93,7 @@
     if (allowed)
         return workspace;
     ++m_counters.unproven;
+    m_workspaces.add(name, WorkspaceEvent::Unproven, now);
     log.info("configuration may be outdated id=" + request.metadata.requestId + " workspace="
              + workspace->name + " version=" + std::to_string(request.table->version()));
     request.call.respond(
@@ -103,11 +108,24 @@
     if (decision.admitted)
         return m_hooks.forward(std::move(request), now);
     ++m_counters.overQuota;
+    m_workspaces.add(request.workspace, WorkspaceEvent::OverQuota, now);
     log.info("over quota id=" + request.metadata.requestId + " workspace=" + request.workspace
              + " retry_after_ms=" + std::to_string(decision.retryAfter.count()));
     request.call.respond(errorResponseFor(ResultCode::QuotaExceeded, {}, decision.retryAfter));
 }
 
+void RequestAdmission::onCallEnded(const std::string &workspace,
+                                   policy::forward::CallOutcome outcome, TimePoint now)
+{
+    using policy::forward::CallOutcome;
+    if (!m_table || !m_table->workspaces())
+        return;
+    if (outcome == CallOutcome::Passed || outcome == CallOutcome::Merged)
+        m_workspaces.add(workspace, WorkspaceEvent::Answered, now);
+    if (outcome == CallOutcome::Refused)
+        m_workspaces.add(workspace, WorkspaceEvent::NoCapacity, now);
+}
+
 bool RequestAdmission::onCallerDisconnect(std::uint64_t httpCallId)
 {
     return m_held.erase(httpCallId) != 0;
--- a/packages/daemon/forward/request_admission.h
+++ b/packages/daemon/forward/request_admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/forward/forward_service.h"
+#include "daemon/forward/workspace_counters.h"
 #include "policy/access/workspace.h"
 
 #include <cstdint>
@@ -67,12 +68,18 @@
     // Returns whether requests with the key of this digest may still be sent to servers.
     bool accessAllowed(const std::string &keyDigest) const;
 
+    // Records the outcome of a request that was passed on. `workspace` is empty without a key.
+    void onCallEnded(const std::string &workspace, policy::forward::CallOutcome outcome,
+                     core::TimePoint now);
+
     const AdmissionCounters &counters() const { return m_counters; }
+    const WorkspaceCounters &workspaceCounters() const { return m_workspaces; }
 
 private:
     // Returns the workspace of the request; null if it needs none. Responds to a request without a
     // valid key and returns false in `allowed`.
-    const policy::access::Workspace *authenticate(AdmittedRequest &request, bool &allowed);
+    const policy::access::Workspace *authenticate(AdmittedRequest &request, bool &allowed,
+                                                  core::TimePoint now);
     void onQuota(std::uint64_t httpCallId, QuotaDecision decision, core::TimePoint now);
 
     Hooks m_hooks;
@@ -80,6 +87,8 @@
     // Requests that wait for the decision on their quota, by their id at the HTTP server.
     std::unordered_map<std::uint64_t, AdmittedRequest> m_held;
     AdmissionCounters m_counters;
+    // Empty while requests need no keys.
+    WorkspaceCounters m_workspaces;
 };
 
 } // namespace goldcrestline::daemon::forward
--- a/packages/policy/forward/fair_admission.cpp
+++ b/packages/policy/forward/fair_admission.cpp
@@ -1,6 +1,7 @@
 #include "policy/forward/fair_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestline::policy::forward {
 
@@ -10,7 +11,8 @@
 
 // Start of the names under which starved calls are placed in the fair order, each as the first one
 // of a workspace. No workspace's name contains it.
-const std::string starvedPrefix("\n");
+constexpr const char *starvedPrefix = "\n";
+constexpr double percentPerUnit = 100;
 
 } // namespace
 
@@ -23,6 +25,7 @@
     call.priority = request.priority;
     call.workspace = request.workspace;
     call.route = request.route;
+    call.service = request.services.front();
     call.objectiveAt = request.objectiveAt;
     call.starved = m_servedByWorkspace.isStarved(request.workspace, now)
         || m_servedByRoute.isStarved(request.route, now);
@@ -93,6 +96,23 @@
     return out;
 }
 
+std::string FairAdmission::describe(std::uint64_t sequence, TimePoint now) const
+{
+    const auto it = m_calls.find(sequence);
+    if (it == m_calls.end())
+        return {};
+    const auto &call = it->second;
+    const auto weight = m_use.weightFor(call.service, call.priority, call.workspace, call.partMs,
+                                        core::toMillis(call.objectiveAt - now), now);
+    const auto percent = [](double value) {
+        return std::to_string(std::lround(percentPerUnit * value));
+    };
+    return " workspace=" + call.workspace + " rule=share priority=" + std::to_string(call.priority)
+        + " starved=" + (call.starved ? "1" : "0") + " ahead_percent=" + percent(weight.fraction)
+        + " urgency_percent=" + percent(weight.urgency)
+        + " excess_percent=" + percent(weight.excess);
+}
+
 std::vector<WaitQueue::Entry> FairAdmission::dispatchOrder(const std::string &service,
                                                            TimePoint now)
 {
--- a/packages/policy/forward/fair_admission.h
+++ b/packages/policy/forward/fair_admission.h
@@ -57,6 +57,10 @@
     // Returns the order in which free capacity is offered to the calls that wait for the service.
     std::vector<WaitQueue::Entry> dispatchOrder(const std::string &service, core::TimePoint now);
 
+    // Returns a log text of what decided on the call: workspace, priority and weights; empty if the
+    // call is not added.
+    std::string describe(std::uint64_t sequence, core::TimePoint now) const;
+
     std::size_t size() const { return m_calls.size(); }
 
 private:
@@ -66,6 +70,8 @@
         int priority = 0;
         std::string workspace;
         std::string route;
+        // Service of the first part.
+        std::string service;
         std::size_t parts = 0;
         std::size_t sent = 0;
         // Expected processing time of one part.
