--- a/packages/policy/forward/fair_admission.cpp
+++ b/packages/policy/forward/fair_admission.cpp
@@ -86,6 +86,9 @@
     const auto &call = it->second;
     const auto atServers = waiting > 0 ? m_backends.estimateLatency(service, 0, now) : out;
     const double queueingMs = atServers->responseMs - atServers->processingMs;
+    // Spares the sum over all workspaces while servers are idle.
+    if (queueingMs <= 0 && waiting == 0)
+        return out;
     const auto weight = m_use.weightFor(service, call.ticket.priority, call.ticket.workspace,
                                         call.partMs, core::toMillis(call.objectiveAt - now), now);
     const double factor = weight.fraction * weight.urgency * weight.excess;
