--- a/packages/policy/forward/fair_admission.cpp
+++ b/packages/policy/forward/fair_admission.cpp
@@ -89,8 +89,8 @@
     // Spares the sum over all workspaces while servers are idle.
     if (queueingMs <= 0 && waiting == 0)
         return out;
-    const auto weight = m_use.weightFor(service, call.ticket.priority, call.ticket.workspace,
-                                        call.partMs, core::toMillis(call.objectiveAt - now), now);
+    const auto weight = m_use.weightFor(service, call.priority, call.workspace, call.partMs,
+                                        core::toMillis(call.objectiveAt - now), now);
     const double factor = weight.fraction * weight.urgency * weight.excess;
     out->responseMs += queueingMs * (factor - 1);
     out->queueWeight = factor;
