--- a/tests/unit/fairness_test.cpp
+++ b/tests/unit/fairness_test.cpp
@@ -104,6 +104,20 @@
     }
 }
 
+// The same where the usual load exceeds the capacity by a tenth and the largest workspace grows.
+TEST_CASE("the largest workspace at 7.5 times its usual rate does not displace the others when "
+          "slots are short already",
+          "[fairness]")
+{
+    const int hosts = GENERATE(1, 8);
+    const auto usual = simulate(workspaces(660, 1, 1), hosts, true);
+    auto counts = simulate(workspaces(660, 1, 7.5), hosts, true);
+    INFO("hosts " << hosts << " others " << servedFraction(usual, "w1") << " -> "
+                  << servedFraction(counts, "w1"));
+    CHECK(servedFraction(counts, "w1") >= servedFraction(usual, "w1") - 0.05);
+    CHECK(servedFraction(counts["w1"]) >= servedFraction(counts) / 4);
+}
+
 TEST_CASE("every other workspace keeps its fraction when one sends 7.5 times its usual rate",
           "[fairness]")
 {
