--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -215,7 +215,9 @@
             std::bind_front(&WorkspaceQuota::giveBack, &m_workspaceQuota),
             [this](const policy::forward::Backend &backend, bool responded, TimePoint now) {
                 m_reach.onAttempt(backend, responded, now);
-            }};
+            },
+            [this](const std::string &workspace, policy::forward::CallOutcome outcome,
+                   TimePoint now) { m_admission.onCallEnded(workspace, outcome, now); }};
     }
 
     RequestAdmission::Hooks admissionHooks()
@@ -509,7 +511,8 @@
         gauges.requestsBlocked = m_quarantine.blockedCount(core::Clock::now());
         return {200,
                 {{"Content-Type", "text/plain"}},
-                formatMetrics(gauges, m_forward.counters(), m_admission.counters())
+                formatMetrics(gauges, m_forward.counters(), m_admission.counters(),
+                              m_admission.workspaceCounters(), core::Clock::now())
                     + m_workspaceQuota.metrics()};
     }
 
