Let the soak's callers send keys, and check what servers see of them

All callers send a valid key and another workspace's name. At the end no server may have seen a key, and each request carries the callers' workspace once. The check was not seen red.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -5,6 +5,7 @@
 #include "adapters/curl/blocking.h"
 
 #include <algorithm>
+#include <cctype>
 #include <random>
 
 namespace soak {
@@ -94,7 +95,9 @@
     transfer.method = claim ? "POST" : "GET";
     transfer.url = "http://" + m_address + path;
     transfer.headers = {"Host: shop.example", "X-Request-Id: " + id,
-                        "X-Deadline-Ms: " + std::to_string(callerTimeoutMs)};
+                        "X-Deadline-Ms: " + std::to_string(callerTimeoutMs),
+                        std::string("Authorization: Token ") + workspaceKey,
+                        "X-Tenant: another-workspace"};
     if (claim)
         transfer.body = std::make_shared<const std::string>("body-" + id);
     transfer.timeout = std::chrono::milliseconds(callerTimeoutMs);
@@ -125,6 +128,9 @@
 
 void CallerLoad::check(const TransferResult &result, const std::string &path, const std::string &id)
 {
+    constexpr int unauthorizedStatus = 401;
+    if (result.status == unauthorizedStatus)
+        m_violations.add("valid key refused for " + path);
     if (result.status != 200)
         return;
     if (path.starts_with("/all/"))
@@ -168,6 +174,31 @@
         m_violations.add("stamp of another request for " + id + ": " + stamps);
 }
 
+void checkWorkspace(const json &headersById, Violations &violations)
+{
+    if (headersById.empty())
+        violations.add("no server saw a request");
+    const auto expected = std::string("X-Tenant: ") + workspaceName;
+    for (const auto &it : headersById.items()) {
+        int names = 0;
+        for (const auto &header : it.value()) {
+            auto text = header.get<std::string>();
+            const auto colon = text.find(':');
+            std::transform(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(colon),
+                           text.begin(), [](unsigned char c) { return std::tolower(c); });
+            if (text.starts_with("authorization:"))
+                violations.add("a server saw the key of " + it.key());
+            if (text.starts_with("x-tenant:")) {
+                ++names;
+                if (header.get<std::string>() != expected)
+                    violations.add("a server saw another workspace for " + it.key());
+            }
+        }
+        if (names != 1)
+            violations.add("a server saw " + std::to_string(names) + " workspaces for " + it.key());
+    }
+}
+
 void checkClaims(const std::map<std::string, int> &claims, const json &runs, Violations &violations)
 {
     std::map<std::string, int> executed;
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -72,6 +72,14 @@
     std::thread m_thread;
 };
 
+// Workspace of the callers, and its key.
+inline constexpr const char *workspaceName = "soak-workspace";
+inline constexpr const char *workspaceKey = "soak-key";
+
+// Checks the headers that servers saw, by request id: the name of the callers' workspace and no
+// other, and no key.
+void checkWorkspace(const harness::json &headersById, Violations &violations);
+
 // Checks that requests which must run at most once did, and that those refused as not run did not.
 void checkClaims(const std::map<std::string, int> &claims, const harness::json &runs,
                  Violations &violations);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -44,6 +44,16 @@
               return m_storeProxies.back()->address();
           })
     {
+        ++m_version;
+        writeConfiguration();
+        if (!eventually([this] {
+                for (std::size_t n = 0; n < m_cluster.size(); ++n) {
+                    if (!hasVersion(n))
+                        return false;
+                }
+                return true;
+            }))
+            throw std::runtime_error("the hosts did not get the workspaces");
         for (std::size_t n = 0; n < m_cluster.size(); ++n) {
             m_callerProxies.push_back(std::make_unique<FaultProxy>(0, m_cluster.host(n).callers));
             for (int i = 0; i < callersPerHost; ++i) {
@@ -78,6 +88,7 @@
             checkClaims(it->claims(), runs, m_violations);
             answered += it->answered();
         }
+        checkWorkspace(m_cluster.headersSeen(), m_violations);
         if (answered == 0)
             m_violations.add("nothing was answered");
         if (!m_violations.all().empty())
@@ -274,6 +285,7 @@
     {
         auto next = RoutedCluster::configuration(m_version);
         next["routes"][1]["service"] = m_service;
+        next["tenants"] = json::array({{{"name", workspaceName}, {"api_keys", {workspaceKey}}}});
         try {
             m_cluster.applyConfiguration(next);
         } catch (const std::runtime_error &) {
@@ -312,15 +324,28 @@
                                {"publish", !m_storeAway}});
     }
 
+    TransferResult sendWithKey(std::size_t n, const std::string &path, const std::string &id) const
+    {
+        constexpr int timeoutMs = 2000;
+        return m_cluster.sendRequest(n, path, id, "GET", {}, timeoutMs,
+                                     {std::string("Authorization: Token ") + workspaceKey});
+    }
+
     bool serves(std::size_t n)
     {
         const auto id = "end-" + std::to_string(n) + "-" + std::to_string(m_probes++);
-        const auto merged = m_cluster.sendRequest(n, "/all/" + id, id);
-        const auto one = m_cluster.sendRequest(n, "/one/" + id, id + "o");
+        const auto merged = sendWithKey(n, "/all/" + id, id);
+        const auto one = sendWithKey(n, "/one/" + id, id + "o");
         return merged.status == 200 && merged.headers.at("x-missing-parts") == "0"
             && one.status == 200 && one.body.ends_with("by " + m_service);
     }
 
+    // Returns whether host `n` has the newest configuration.
+    bool hasVersion(std::size_t n) const
+    {
+        return m_cluster.metric(n, "configuration_version") == static_cast<double>(m_version);
+    }
+
     void recover()
     {
         for (std::size_t n = 0; n < m_cluster.size(); ++n)
@@ -333,9 +358,7 @@
             [this] {
                 for (std::size_t n = 0; n < m_cluster.size(); ++n) {
                     if (!m_cluster.ready(n) || !serves(n)
-                        || m_cluster.metric(n, "members") != hostCount
-                        || m_cluster.metric(n, "configuration_version")
-                            != static_cast<double>(m_version))
+                        || m_cluster.metric(n, "members") != hostCount || !hasVersion(n))
                         return false;
                 }
                 return true;
@@ -371,7 +394,7 @@
         const auto before = m_cluster.runs().at(id).at("arrivals");
         for (std::size_t n = 0; n < m_cluster.size(); ++n) {
             for (int i = 0; i < 10; ++i)
-                m_cluster.sendRequest(n, "/one/x", "drain" + std::to_string(i));
+                sendWithKey(n, "/one/x", "drain" + std::to_string(i));
         }
         if (m_cluster.runs().at(id).at("arrivals") != before) {
             m_violations.add("a draining server got requests after its time: " + id);
