Follow the changed exclusion of cut-off hosts with its mutant

The mutant cut-off-listed no longer applied, since the exclusion became a function that also serves hosts without a proof. It applies again; it was not run.

--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -273,7 +273,7 @@
     's/\(peersReach \|\| onlyNewFail\)/true/' \
     unit_tests "a host that reaches no server while others do is cut off"
 mutant cut-off-listed $policy/entrypoints/entry_points.cpp \
-    's/if \(anyConnected\)/if (false)/' \
+    's/excludeFlagged\(members, &Member::cutOff\);//' \
     process_tests "directories leave out a host whose connections to all servers hang"
 
 ninja -C "$build" >/dev/null 2>&1
