--- a/packages/policy/access/key_table.cpp
+++ b/packages/policy/access/key_table.cpp
@@ -26,9 +26,10 @@
                              "a key of workspace '" + name + "' occurs twice"};
             }
         }
-        if (table->m_byDigest.size() > maxKeys)
+        if (table->m_byDigest.size() > maxKeys) {
             return Error{ResultCode::PlatformObject,
                          "more than " + std::to_string(maxKeys) + " keys"};
+        }
         table->m_workspaces.push_back(std::move(it.workspace));
     }
     return std::shared_ptr<const KeyTable>(std::move(table));
