Name the quota's metrics apart from the counters by workspace

Both parts wrote workspace_refused_total, so that a sum by name counted each refusal over quota twice, and their label for the remaining workspaces differed: the empty name also stands for requests without a key. The quota's metrics are quota_* now, the rest is "other" in both, and goldcrestline status shows them.

--- a/packages/cli/status_command.cpp
+++ b/packages/cli/status_command.cpp
@@ -47,7 +47,8 @@
         line.erase(0, prefix.size());
         known |= line.starts_with("configuration_version ");
         if (line.starts_with("configuration_version ") || line.starts_with("members ")
-            || line.starts_with("requests_") || line.starts_with("workspace_"))
+            || line.starts_with("requests_") || line.starts_with("workspace_")
+            || line.starts_with("quota_"))
             std::cout << line << '\n';
     }
     return known;
--- a/packages/daemon/forward/workspace_quota.cpp
+++ b/packages/daemon/forward/workspace_quota.cpp
@@ -506,7 +506,7 @@
     std::string out;
     const auto append = [&](const std::string &label, const Counters &counters) {
         const auto line = [&](const std::string &name, std::uint64_t value) {
-            out += "goldcrestline_workspace_" + name + label + " " + std::to_string(value) + "\n";
+            out += "goldcrestline_quota_" + name + label + " " + std::to_string(value) + "\n";
         };
         line("admitted_total", counters.admitted);
         line("refused_total", counters.refused);
@@ -521,7 +521,7 @@
         others.refused += all[i].second->refused;
         others.lent += all[i].second->lent;
     }
-    append("{workspace=\"\"}", others);
+    append("{workspace=\"other\"}", others);
     out += "goldcrestline_quota_own_share " + std::string(m_fallenBack ? "1" : "0") + "\n";
     return out;
 }
--- a/packages/policy/entrypoints/entry_points.h
+++ b/packages/policy/entrypoints/entry_points.h
@@ -13,8 +13,7 @@
 
 // Returns the hosts that may be entry points. Excludes suspect, dead and leaving hosts, those that
 // reach no server unless none does, those that refuse requests with a key unless all do, and the
-// small hosts of a zone while its large hosts suffice and
-// none of them is strained. Thread-safe.
+// small hosts of a zone while its large hosts suffice and none of them is strained. Thread-safe.
 std::vector<membership::Member> eligibleHosts(std::vector<membership::Member> members);
 
 // Returns whether `members` contains the host named `name`. Thread-safe.
--- a/tests/process/quotas_test.cpp
+++ b/tests/process/quotas_test.cpp
@@ -193,6 +193,6 @@
     CHECK(greedy.allHaveRetryAfter);
     CHECK(modest.served >= 0.95 * (modest.served + modest.refused + modest.failed));
     const auto survivor = (lender + 1) % cluster.size();
-    CHECK(cluster.metric(survivor, "workspace_refused_total{workspace=\"greedy\"}") > 0);
+    CHECK(cluster.metric(survivor, "quota_refused_total{workspace=\"greedy\"}") > 0);
     CHECK(cluster.metric(survivor, "quota_own_share") == 0);
 }
