Log how long transfers of the configuration take, and those that are given up

Nothing told whether a late host waits for a slow transfer, gives up what it has, or is busy reading. Now a call to the store that is aborted is logged with its age and the bytes received, a failed fetch from a peer with its host and time, and a configuration that comes into force with its size and the time that applying it took. New metrics: configuration_watch_age_ms, document_fetches_total, document_fetches_failed_total. No behaviour changes.

--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -64,6 +64,8 @@
     std::string unparsed;
     // Rest of the request after a partial write to the socket.
     std::string unsent;
+    // Bytes received since the request was sent.
+    std::uint64_t receivedBytes = 0;
     // Bytes of the unfinished body.
     std::uint64_t bodyBytes = 0;
     int discardedResponses = 0;
@@ -167,6 +169,7 @@
     {
         connection->state = Connection::State::Busy;
         connection->discardedResponses = 0;
+        connection->receivedBytes = 0;
         restartParser(*connection);
         const auto &request = connection->request;
         static const std::string emptyBody;
@@ -210,6 +213,7 @@
     void onRead(const ConnectionPtr &connection, std::size_t n)
     {
         bytesReceived += n;
+        connection->receivedBytes += n;
         if (connection->state != Connection::State::Busy) {
             // Bytes without a request in progress.
             return close(connection);
@@ -459,6 +463,12 @@
     m_impl->close(connection);
 }
 
+std::uint64_t ExchangeClient::receivedBytes(ExchangeId id) const
+{
+    const auto it = m_impl->byId.find(id);
+    return it == m_impl->byId.end() ? 0 : it->second->receivedBytes;
+}
+
 void ExchangeClient::tick(TimePoint now)
 {
     std::vector<std::pair<ConnectionPtr, ExchangeOutcome>> timedOut;
--- a/packages/adapters/loop/exchange_client.h
+++ b/packages/adapters/loop/exchange_client.h
@@ -55,6 +55,9 @@
     // Cancels an exchange and closes its connection; `done` is not called. Unknown ids are ignored.
     void abort(ports::ExchangeId id);
 
+    // Returns the bytes received of the response to an exchange in progress; 0 for unknown ids.
+    std::uint64_t receivedBytes(ports::ExchangeId id) const;
+
     // Fails exchanges past their deadline or whose connection did not open in time, and closes
     // connections whose idle timeout ended. Call about every 20 ms.
     void tick(core::TimePoint now);
--- a/packages/core/clock.h
+++ b/packages/core/clock.h
@@ -21,6 +21,12 @@
     return std::chrono::duration<double, std::milli>(d).count();
 }
 
+// Returns `d` in whole milliseconds, for logs and metrics. Thread-safe.
+inline std::int64_t wholeMillis(Duration d)
+{
+    return std::chrono::duration_cast<Millis>(d).count();
+}
+
 // Returns the wall-clock time. Thread-safe.
 inline WallMillis wallNow()
 {
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -487,6 +487,10 @@
     {
         HostGauges gauges;
         gauges.version = m_copy.version();
+        gauges.configurationWatchAgeMs =
+            static_cast<std::uint64_t>(core::wholeMillis(m_copy.configSyncAge(core::Clock::now())));
+        gauges.documentFetches = m_copy.fetches();
+        gauges.failedDocumentFetches = m_copy.failedFetches();
         gauges.members = m_members.live().size();
         gauges.running = m_forward.running();
         gauges.proof = m_prover.status(core::BootClock::now());
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -17,6 +17,9 @@
 {
     std::string out;
     appendLine(out, "configuration_version", gauges.version);
+    appendLine(out, "configuration_watch_age_ms", gauges.configurationWatchAgeMs);
+    appendLine(out, "document_fetches_total", gauges.documentFetches);
+    appendLine(out, "document_fetches_failed_total", gauges.failedDocumentFetches);
     appendLine(out, "members", gauges.members);
     appendLine(out, "running", gauges.running);
     appendLine(out, "store_calls_total", gauges.storeCalls);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -15,6 +15,11 @@
 {
     // Version of the platform configuration in force.
     std::uint64_t version = 0;
+    // Age of the store's last response to this host's own call for the configuration.
+    std::uint64_t configurationWatchAgeMs = 0;
+    // Documents requested from other hosts, and how many of these requests failed.
+    std::uint64_t documentFetches = 0;
+    std::uint64_t failedDocumentFetches = 0;
     std::size_t members = 0;
     // Calls in progress.
     std::size_t running = 0;
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -89,7 +89,7 @@
             log.warning("configuration removed name=" + name + "; the last one remains in force");
         },
         [](const std::string &) {},
-        [](bool, TimePoint) {},
+        [this](bool, TimePoint now) { m_configSyncedAt = now; },
         [this](TimePoint now) { onWatchSilent(now); },
         [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
@@ -144,6 +144,7 @@
 
 void PlatformCopy::applyConfig(const nlohmann::json &spec, const std::string &from)
 {
+    const auto startedAt = core::Clock::now();
     auto table = platform::decodeConfig(spec);
     if (!table.has_value()) {
         log.error("configuration refused from=" + from + ": " + table.error().text());
@@ -155,9 +156,11 @@
     m_configText = platform::withKeyDigests(spec).dump();
     m_configuration = {m_table->version(), core::stableHash(m_configText)};
     m_highestVersion = std::max(m_highestVersion, m_table->version());
-    log.info("configuration in force version=" + std::to_string(m_table->version())
-             + " from=" + from + " routes=" + std::to_string(m_table->routes().size()));
     m_hooks.onRoutes(m_table);
+    log.info("configuration in force version=" + std::to_string(m_table->version())
+             + " from=" + from + " routes=" + std::to_string(m_table->routes().size())
+             + " bytes=" + std::to_string(m_configText.size())
+             + " ms=" + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
 }
 
 std::optional<policy::access::ConfigurationId>
@@ -278,6 +281,11 @@
     return age ? std::chrono::ceil<core::Millis>(*age) : unconfirmedAge;
 }
 
+core::Duration PlatformCopy::configSyncAge(TimePoint now) const
+{
+    return m_configSyncedAt == TimePoint{} ? unconfirmedAge : now - m_configSyncedAt;
+}
+
 policy::mirror::EraOrder PlatformCopy::observeEra(std::optional<std::uint64_t> era, TimePoint now)
 {
     const auto order = m_era.observe(era);
@@ -362,7 +370,8 @@
         return;
     m_staleSince = now;
     log.info("peers hold a newer version=" + std::to_string(m_highestVersion)
-             + " own=" + std::to_string(version()));
+             + " own=" + std::to_string(version()) + " host=" + m_highestVersionHost
+             + " watch_age_ms=" + std::to_string(core::wholeMillis(configSyncAge(now))));
     // A watch on a connection that delivers no more data would end only at its time-out.
     if (m_wasWatching && !m_config.mirror().failing())
         m_config.restart(now);
@@ -373,9 +382,14 @@
 
 void PlatformCopy::fetch(DocumentKind kind, const std::string &address)
 {
+    ++m_fetches;
     m_peers.call(address, ports::FetchRequest{kind}, fetchTimeout,
-                 [this](const ports::PeerResult &result) {
+                 [this, address, startedAt = core::Clock::now()](const ports::PeerResult &result) {
                      if (result.outcome != ports::PeerOutcome::Answered) {
+                         ++m_failedFetches;
+                         log.info(
+                             "fetch failed host=" + address + " ms="
+                             + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
                          // Accept the next host that reports the version.
                          m_highestVersionHost.clear();
                          return;
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -84,6 +84,13 @@
     // Returns the id of that configuration, or nothing if it is rejected.
     std::optional<policy::access::ConfigurationId>
     onConfigRead(const platform::StoreObject &object);
+    // Returns the time since the store last responded to this host's own call for the
+    // configuration; an hour if it never did.
+    core::Duration configSyncAge(core::TimePoint now) const;
+    // Returns the number of documents that this host requested from others since the start, and how
+    // many of these requests failed.
+    std::uint64_t fetches() const { return m_fetches; }
+    std::uint64_t failedFetches() const { return m_failedFetches; }
     // Returns the number of calls to the store since the start.
     std::uint64_t storeCalls() const
     {
@@ -139,6 +146,10 @@
     core::Version m_serversVersion;
     // Time of the last response to this host's own watch of the servers.
     core::TimePoint m_syncedAt{};
+    // The same for the configuration.
+    core::TimePoint m_configSyncedAt{};
+    std::uint64_t m_fetches = 0;
+    std::uint64_t m_failedFetches = 0;
     policy::mirror::StoreEra m_era;
     ServerList m_serverList;
     StoreSync m_config;
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -57,6 +57,7 @@
         request = platform::listRequest(m_kind, std::get<policy::mirror::ListStep>(step).after);
     }
     ++m_calls;
+    m_startedAt = now;
     m_exchange =
         m_client.send(m_hooks.address(), std::move(request), now,
                       [this, watching = watch != nullptr](const ports::ExchangeResult &result) {
@@ -116,30 +117,33 @@
     log.warning("call failed kind=" + m_kind + " why=" + reply.detail);
 }
 
-void StoreSync::abortCall()
+void StoreSync::abortCall(TimePoint now)
 {
     if (m_exchange == 0)
         return;
+    log.info("call aborted kind=" + m_kind
+             + " ms=" + std::to_string(core::wholeMillis(now - m_startedAt))
+             + " received=" + std::to_string(m_client.receivedBytes(m_exchange)));
     m_client.abort(m_exchange);
     m_exchange = 0;
 }
 
 void StoreSync::restart(TimePoint now)
 {
-    abortCall();
+    abortCall(now);
     m_mirror.onWatchAborted(now);
     tick(now);
 }
 
 void StoreSync::stop(TimePoint now)
 {
-    abortCall();
+    abortCall(now);
     m_mirror.restart(now);
 }
 
 void StoreSync::onStoreRestored(TimePoint now)
 {
-    abortCall();
+    abortCall(now);
     m_mirror.onStoreRestored(now);
     tick(now);
 }
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -65,7 +65,7 @@
 private:
     void begin(const policy::mirror::Step &step, core::TimePoint now);
     void onReply(bool watching, const platform::StoreReply &reply, core::TimePoint now);
-    void abortCall();
+    void abortCall(core::TimePoint now);
     void logFailure(const platform::StoreReply &reply);
 
     std::string m_kind;
@@ -73,6 +73,7 @@
     policy::mirror::Mirror m_mirror;
     Hooks m_hooks;
     ports::ExchangeId m_exchange = 0;
+    core::TimePoint m_startedAt{};
     core::TimePoint m_timeoutAt{};
     std::uint64_t m_calls = 0;
 };
