Reproduce a late host that never ends the transfer of a large configuration

A unit test with a store behind a limited link: the host hears of version 2 from its peers, and its call would take 1.2 s. It aborts the call each 0.4 s with 152,000 of 480,000 bytes received and begins anew, so version 2 is not in force after 5 s.

--- /dev/null
+++ b/tests/unit/platform_copy_test.cpp
@@ -0,0 +1,125 @@
+#include "daemon/forward/platform_copy.h"
+#include "throttled_server.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace goldcrestline;
+using daemon::forward::PlatformCopy;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Time within which a change must be in force on a fleet of this size.
+constexpr auto changeTime = 5s;
+
+json configuration(std::uint64_t version, int routes)
+{
+    auto out = json::parse(R"({"services": [{"name": "s", "max_connections": 10}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, "routes": []})");
+    out["version"] = version;
+    for (int i = 0; i < routes; ++i) {
+        out["routes"].push_back({{"name", "r" + std::to_string(i)},
+                                 {"host", "h.example"},
+                                 {"path_prefix", "/p" + std::to_string(i) + "/"},
+                                 {"route_type", "idempotent"},
+                                 {"timeout_ms", 1000},
+                                 {"target_latency_ms", 100},
+                                 {"priority", 0},
+                                 {"max_attempts", 2},
+                                 {"service", "s"}});
+    }
+    return out;
+}
+
+// Leaves each request without an answer, and counts the requests for the configuration.
+struct SilentLink : ports::PeerLink
+{
+    int fetches = 0;
+
+    void call(const std::string &, ports::PeerRequest, core::Millis, ports::PeerHandler) override
+    {
+        ++fetches;
+    }
+};
+
+// A host whose store holds version 1, and version 2 from the second call on.
+struct Host
+{
+    boost::asio::io_context io;
+    unit::ThrottledServer store;
+    adapters::loop::ExchangeClient client{io, {}};
+    policy::forward::BackendTable backends{
+        "a", {}, [](const std::string &) { return 1; }, [] { return 0.5; }};
+    SilentLink link;
+    std::uint64_t inForce = 0;
+    PlatformCopy copy{client,
+                      backends,
+                      link,
+                      5s,
+                      core::Millis(0),
+                      {[this] { return store.address(); }, [] { return 0.5; },
+                       [this](policy::forward::RouteTablePtr table) { inForce = table->version(); },
+                       [](core::TimePoint) {}}};
+
+    Host(std::size_t bytesPerMillisecond, int routes)
+        : store(io, bytesPerMillisecond,
+                [this, routes](const std::string &line) { return reply(line, routes); })
+    { }
+
+    unit::ThrottledServer::Reply reply(const std::string &line, int routes) const
+    {
+        if (line.find("/objects/config") == std::string::npos)
+            return {R"({"items": [], "events": [], "more": false, "store_revision": 5})", 100ms};
+        const bool watch = line.find("watch=") != std::string::npos;
+        const auto version = inForce == 0 ? 1 : 2;
+        const json object = {{"meta", {{"name", "main"}, {"revision", 5 + version}}},
+                             {"spec", configuration(version, version == 1 ? 1 : routes)}};
+        if (!watch)
+            return {
+                json{{"items", {object}}, {"more", false}, {"store_revision", 5 + version}}.dump()};
+        // The watch that was waiting when the change was made is on a silent connection.
+        const bool waits = line.find("wait_ms=1 ") == std::string::npos;
+        return {json{{"events", {{{"object", object}, {"deleted", false}}}}, {"store_revision", 7}}
+                    .dump(),
+                waits ? 60s : 0s};
+    }
+
+    // Runs until the version is in force, at most for `limit`; returns whether it is. Peers report
+    // version 2 three times per second.
+    bool runUntil(std::uint64_t version, core::Duration limit)
+    {
+        policy::membership::Member self;
+        self.name = "self";
+        const auto end = core::Clock::now() + limit;
+        core::TimePoint gossipAt{};
+        while (inForce < version && core::Clock::now() < end) {
+            io.restart();
+            io.run_for(20ms);
+            const auto now = core::Clock::now();
+            client.tick(now);
+            copy.updateRole({self}, self, now);
+            copy.tick(now);
+            if (version < 2 || now < gossipAt)
+                continue;
+            gossipAt = now + 300ms;
+            ports::Gossip gossip;
+            gossip.listsVersion.revision = 2;
+            copy.onGossip(gossip, "127.0.0.1:9", now);
+        }
+        return inForce >= version;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a host that is late with a large configuration goes on with the transfer it began")
+{
+    // The response takes about 1.2 s, longer than peers' reports of the version are apart.
+    Host it(400, 2851);
+    REQUIRE(it.runUntil(1, changeTime));
+    CHECK(it.runUntil(2, changeTime));
+    CHECK(it.link.fetches <= 2);
+}
