Fetch a newer configuration once, as compressed changes of the own one

What callers saw: a request at a host in touch ran as an older version allows, up to 17 s after the change.

Cause: a host that hears of a newer version aborted its call to the store each 0.4 s and began it again, and asked a peer for the whole configuration each time, beside the requests in flight, with a time-out of 1 s for all of it. On a link of 14 Mbit/s, 0.5 MB take 0.3 s alone; the repeated transfers share the link, so that none ends. The followers of a zone also fetched the whole text from two watchers, 11 MB for each, so that confirmations came late and followers turned to the store together.

The fix: one transfer from peers is in flight (FetchSchedule), its source is a host that still states the version, of the own zone if there is one. A call to the store goes on once its response begins to arrive, and time-outs run from the last bytes received. Hosts send each other what changed since the receiver's configuration, by pieces of the text, compressed: 88 kB for 2,851 routes with random names, under 1 kB for one changed route, 0.5 MB before. Hosts of earlier versions are asked for the whole text at each second attempt.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libpistache-dev \
 	libcapnp-dev capnproto libboost1.81-dev libcxxopts-dev libeasyloggingpp-dev \
 	libtrompeloeil-cpp-dev catch2 librapidcheck-dev libtomlplusplus-dev libcurl4-openssl-dev \
-	libssl-dev libxxhash-dev nlohmann-json3-dev
+	libssl-dev libxxhash-dev nlohmann-json3-dev zlib1g-dev
 
 # Applies known faults one at a time and expects the proofs to go red.
 mutants: build
--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -214,6 +214,7 @@
     {
         bytesReceived += n;
         connection->receivedBytes += n;
+        extendDeadline(connection->request);
         if (connection->state != Connection::State::Busy) {
             // Bytes without a request in progress.
             return close(connection);
@@ -230,6 +231,13 @@
             startRead(connection);
     }
 
+    static void extendDeadline(ports::ExchangeRequest &request)
+    {
+        if (request.progressTimeout == core::Millis(0))
+            return;
+        request.deadline = std::max(request.deadline, core::Clock::now() + request.progressTimeout);
+    }
+
     void parse(const ConnectionPtr &connection, std::string_view bytes)
     {
         while (!bytes.empty()) {
--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -135,6 +135,7 @@
         to.setProofAgeMs(static_cast<std::uint64_t>(from.proofAge->count()) + 1);
     to.setProofVersion(from.proofVersion);
     to.setProofDigest(from.proofDigest);
+    to.setProofRevision(from.proofRevision);
     auto crashes = to.initCrashes(static_cast<unsigned>(from.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i)
         writeCrash(from.crashes[i], crashes[i]);
@@ -167,6 +168,7 @@
         gossip.proofAge = core::Millis(from.getProofAgeMs() - 1);
     gossip.proofVersion = from.getProofVersion();
     gossip.proofDigest = from.getProofDigest();
+    gossip.proofRevision = from.getProofRevision();
     for (const auto it : from.getCrashes())
         gossip.crashes.push_back(readCrash(it));
     return gossip;
@@ -269,6 +271,27 @@
     borrow.setPassedOn(from.passedOn);
 }
 
+void writeContent(const ports::ConfigurationRequest &from, wire::Message::Builder to)
+{
+    auto copy = to.initCopyConfiguration();
+    copy.setVersion(from.version);
+    copy.setDigest(from.digest);
+}
+
+void writeAnswer(const ports::ConfigurationResponse &from, wire::Message::Builder to)
+{
+    auto copied = to.initCopiedConfiguration();
+    copied.setVersion(from.version);
+    copied.setDigest(from.digest);
+    copied.setBaseDigest(from.baseDigest);
+    copied.setDelta(asData(from.delta));
+}
+
+ports::ConfigurationResponse readConfiguration(wire::Message::CopiedConfiguration::Reader from)
+{
+    return {from.getVersion(), from.getDigest(), from.getBaseDigest(), asString(from.getDelta())};
+}
+
 void writeAnswer(const ports::QuotaResponse &from, wire::Message::Builder to)
 {
     auto lent = to.initLentQuota();
@@ -411,6 +434,11 @@
         return PeerRequest(ports::QuotaRequest{
             asString(from.getBorrowQuota().getWorkspace()), from.getBorrowQuota().getWanted(),
             from.getBorrowQuota().getReturned(), from.getBorrowQuota().getPassedOn()});
+    case wire::Message::COPY_CONFIGURATION:
+        return PeerRequest(ports::ConfigurationRequest{from.getCopyConfiguration().getVersion(),
+                                                       from.getCopyConfiguration().getDigest()});
+    case wire::Message::COPIED_CONFIGURATION:
+        return PeerResponse(readConfiguration(from.getCopiedConfiguration()));
     case wire::Message::LENT_QUOTA:
         return PeerResponse(ports::QuotaResponse{from.getLentQuota().getTokens(),
                                                  core::Millis(from.getLentQuota().getWaitMs())});
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -142,12 +142,14 @@
         constexpr std::size_t probeIndex = 1;
         constexpr std::size_t fetchIndex = 2;
         constexpr std::size_t copyIndex = 6;
+        constexpr std::size_t configurationIndex = 8;
         if (const auto *gossip = std::get_if<ports::Gossip>(&message)) {
             (gossip->comparison ? traffic.comparisons : traffic.gossip) += bytes;
         } else if (message.index() == probeIndex) {
             traffic.gossip += bytes;
         } else {
-            const bool isDocument = message.index() == fetchIndex || message.index() == copyIndex;
+            const bool isDocument = message.index() == fetchIndex || message.index() == copyIndex
+                || message.index() == configurationIndex;
             (isDocument ? traffic.documents : traffic.other) += bytes;
         }
     }
@@ -206,6 +208,7 @@
             "POST /peer HTTP/1.1\r\nHost: peer\r\nContent-Length: "
             + std::to_string(out.body->size()) + "\r\n");
         out.deadline = now + timeout;
+        out.progressTimeout = timeout;
         client.send(address, std::move(out), now,
                     [done = std::move(done), index = request.index()](
                         const ports::ExchangeResult &result) { done(readResult(result, index)); });
--- a/packages/adapters/peers/peer.capnp
+++ b/packages/adapters/peers/peer.capnp
@@ -70,6 +70,8 @@
   proofVersion @18 :UInt64;
   # Digest of that configuration.
   proofDigest @19 :UInt64;
+  # Revision of the store at which proofVersion was the newest configuration; 0 if unknown.
+  proofRevision @20 :UInt64;
 }
 
 struct Outcome {
@@ -160,5 +162,18 @@
       tokens @37 :Int32;
       waitMs @38 :Int64;
     }
+    # Requests the receiver's configuration, by what the sender has.
+    copyConfiguration :group {
+      version @40 :UInt64;
+      digest @41 :UInt64;
+    }
+    # delta: compressed changes of the configuration with the digest baseDigest, or of the empty
+    # document if that is 0; empty if the sender of the request is up to date.
+    copiedConfiguration :group {
+      version @42 :UInt64;
+      digest @43 :UInt64;
+      baseDigest @44 :UInt64;
+      delta @45 :Data;
+    }
   }
 }
--- a/packages/daemon/engine/peer_service.cpp
+++ b/packages/daemon/engine/peer_service.cpp
@@ -84,6 +84,12 @@
     call.reply(ports::CopyResponse{});
 }
 
+void PeerService::handleRequest(ports::ConfigurationRequest &, ports::PeerCall &call, TimePoint)
+{
+    // Hosts of plans have lists, which are fetched whole.
+    call.reply(ports::ConfigurationResponse{});
+}
+
 void PeerService::handleRequest(ports::QuotaRequest &, ports::PeerCall &call, TimePoint)
 {
     // Hosts of plans know no workspaces.
--- a/packages/daemon/engine/peer_service.h
+++ b/packages/daemon/engine/peer_service.h
@@ -41,6 +41,7 @@
     void handleRequest(ports::ProbeRequest &, ports::PeerCall &, core::TimePoint) { }
     void handleRequest(ports::FetchRequest &request, ports::PeerCall &call, core::TimePoint now);
     void handleRequest(ports::CopyRequest &request, ports::PeerCall &call, core::TimePoint now);
+    void handleRequest(ports::ConfigurationRequest &, ports::PeerCall &call, core::TimePoint now);
     void handleRequest(ports::QuotaRequest &request, ports::PeerCall &call, core::TimePoint now);
     void handleRequest(ports::RunRequest &request, ports::PeerCall &call, core::TimePoint now);
     void handleRequest(ports::BorrowRequest &request, ports::PeerCall &call, core::TimePoint now);
--- a/packages/daemon/forward/configuration_prover.cpp
+++ b/packages/daemon/forward/configuration_prover.cpp
@@ -82,7 +82,7 @@
             return log.warning("unreadable configuration object");
         m_readDigest = digest;
         m_readRevision.revision = reply.items.front().revision;
-        m_readId = m_copy.onConfigRead(reply.items.front());
+        m_readId = m_copy.onConfigRead(reply.items.front(), "read");
     }
     m_proof.setInForce(m_copy.configuration());
     if (m_readId) {
--- a/packages/daemon/forward/evacuation_sync.cpp
+++ b/packages/daemon/forward/evacuation_sync.cpp
@@ -116,7 +116,7 @@
 void EvacuationSync::checkWatch(TimePoint now)
 {
     if (m_watching && m_sync.mirror().watching() && !m_sync.mirror().failing())
-        m_sync.restart(now);
+        m_sync.checkNow(now);
 }
 
 void EvacuationSync::onStoreRestored(TimePoint now)
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -343,7 +343,7 @@
                 },
                 [this](const ports::Gossip &gossip, const policy::membership::Member &from,
                        std::optional<TimePoint>, TimePoint now) {
-                    m_copy.onGossip(gossip, from.peersAddress, now);
+                    m_copy.onGossip(gossip, from, now);
                     m_prover.onGossip(gossip, core::BootClock::now());
                     noteLeavingServers(gossip, now);
                     m_quarantineSync.onGossip(gossip, from.peersAddress, now);
@@ -413,6 +413,8 @@
                                   ? m_quarantineSync.handleFetch(now)
                                   : m_copy.handleFetch(fetch->kind));
         }
+        if (const auto *copy = std::get_if<ports::ConfigurationRequest>(&call.request))
+            return call.reply(m_copy.handleConfiguration(*copy));
         if (std::holds_alternative<ports::QuotaRequest>(call.request)) {
             m_workspaceQuota.handle(call, now);
             return arm(now);
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -17,13 +17,15 @@
 constexpr adapters::logging::LogChannel log("copy:");
 
 // Time for a newer version that a peer reported to arrive through this host's own watch, before it
-// is fetched from the peer.
+// is fetched from a peer.
 constexpr core::Millis watchDelayLimit{400};
 // The same on a follower, which learns it by its polls.
 constexpr core::Millis followDelayLimit{1500};
 // Time for the server list of a newer revision that a peer reported to arrive through this host's
 // own watch, before the servers are watched anew. Above the delay of a watch after changes.
 constexpr core::Millis serversDelayLimit{1000};
+// Interval between checks of the own watch while peers hold a newer configuration.
+constexpr core::Millis staleCheckPeriod{1000};
 constexpr core::Millis fetchTimeout{1000};
 // Time for which the store holds a watch without changes. It is long because store calls are
 // billed; a dead connection is detected earlier, by TCP keep-alive.
@@ -54,7 +56,10 @@
       m_serverList(backends, entryLifetime),
       m_config(platform::names::configKind, client, makeMirror(), configHooks()),
       m_servers(platform::names::serversKind, client, makeMirror(), serverHooks()),
-      m_evacuations(evacuationTime, client, backends, peers, makeMirror(), evacuationHooks())
+      m_evacuations(evacuationTime, client, backends, peers, makeMirror(), evacuationHooks()),
+      m_exchange(peers,
+                 {[this] { return m_hooks.random(); },
+                  [this](std::string text) { return applyPeerConfig(std::move(text)); }})
 { }
 
 policy::mirror::Mirror PlatformCopy::makeMirror()
@@ -83,13 +88,19 @@
     return {
         [this](const platform::StoreObject &object, TimePoint) {
             if (object.name == platform::names::configName)
-                applyConfig(object.spec, "store");
+                m_synced = onConfigRead(object, "store");
         },
-        [](const std::string &name, TimePoint) {
+        [this](const std::string &name, TimePoint) {
+            if (name != platform::names::configName)
+                return;
+            forgetStored();
             log.warning("configuration removed name=" + name + "; the last one remains in force");
         },
-        [](const std::string &) {},
-        [this](bool, TimePoint now) { m_configSyncedAt = now; },
+        [this](const std::string &name) {
+            if (name == platform::names::configName)
+                forgetStored();
+        },
+        [this](bool, TimePoint now) { onConfigSynced(now); },
         [this](TimePoint now) { onWatchSilent(now); },
         [] { return longWatchWait; },
         [this](std::optional<std::uint64_t> era) { return observeEra(era, core::Clock::now()); },
@@ -129,7 +140,7 @@
 void PlatformCopy::checkWatch(StoreSync &sync, TimePoint now)
 {
     if (sync.mirror().watching() && !sync.mirror().failing())
-        sync.restart(now);
+        sync.checkNow(now);
 }
 
 core::Millis PlatformCopy::serversWatchWait() const
@@ -142,29 +153,65 @@
                       longWatchWait);
 }
 
-void PlatformCopy::applyConfig(const nlohmann::json &spec, const std::string &from)
+bool PlatformCopy::applyConfig(const nlohmann::json &spec, std::string text,
+                               const std::string &from)
 {
     const auto startedAt = core::Clock::now();
     auto table = platform::decodeConfig(spec);
     if (!table.has_value()) {
         log.error("configuration refused from=" + from + ": " + table.error().text());
-        return;
+        return false;
     }
     if (m_table && table.value()->version() <= m_table->version())
-        return;
+        return true;
     m_table = std::move(table.value());
-    m_configText = platform::withKeyDigests(spec).dump();
-    m_configuration = {m_table->version(), core::stableHash(m_configText)};
-    m_highestVersion = std::max(m_highestVersion, m_table->version());
+    if (text.empty())
+        text = platform::configText(spec);
+    const auto bytes = text.size();
+    m_exchange.setInForce({m_table->version(), core::stableHash(text)}, std::move(text));
     m_hooks.onRoutes(m_table);
     log.info("configuration in force version=" + std::to_string(m_table->version())
              + " from=" + from + " routes=" + std::to_string(m_table->routes().size())
-             + " bytes=" + std::to_string(m_configText.size())
+             + " bytes=" + std::to_string(bytes)
              + " ms=" + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
+    return true;
+}
+
+bool PlatformCopy::applyPeerConfig(std::string text)
+{
+    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    return !parsed.is_discarded() && applyConfig(parsed, std::move(text), "peer");
+}
+
+void PlatformCopy::onConfigSynced(TimePoint now)
+{
+    m_configSyncedAt = now;
+    if (!m_config.mirror().complete())
+        return;
+    if (!m_synced)
+        return m_stored.reset();
+    m_stored = StoredConfiguration{{m_era.newest(), m_config.mirror().revision()}, *m_synced};
+}
+
+void PlatformCopy::forgetStored()
+{
+    m_synced.reset();
+    m_stored.reset();
 }
 
 std::optional<policy::access::ConfigurationId>
-PlatformCopy::onConfigRead(const platform::StoreObject &object)
+PlatformCopy::onConfigRead(const platform::StoreObject &object, const std::string &from)
+{
+    const policy::access::ObjectRevision revision{m_era.newest(), object.revision};
+    if (revision != m_lastRead || object.revision == 0) {
+        m_lastRead = revision;
+        m_lastReadId = readConfig(object, from);
+    }
+    return m_lastReadId;
+}
+
+std::optional<policy::access::ConfigurationId>
+PlatformCopy::readConfig(const platform::StoreObject &object, const std::string &from)
 {
     const auto stated = platform::configVersion(object.spec);
     if (!stated)
@@ -172,22 +219,22 @@
     if (*stated < version())
         return policy::access::ConfigurationId{*stated, 0};
     if (*stated > version()) {
-        applyConfig(object.spec, "read");
-        if (*stated > version())
+        if (!applyConfig(object.spec, {}, from) || *stated > version())
             return std::nullopt;
-        return m_configuration;
+        return configuration();
     }
     // The content may differ from the one in force and be malformed.
     if (!platform::decodeConfig(object.spec).has_value())
         return std::nullopt;
-    return policy::access::ConfigurationId{
-        *stated, core::stableHash(platform::withKeyDigests(object.spec).dump())};
+    return policy::access::ConfigurationId{*stated,
+                                           core::stableHash(platform::configText(object.spec))};
 }
 
 void PlatformCopy::updateRole(const std::vector<policy::membership::Member> &live,
                               const policy::membership::Member &self, TimePoint now)
 {
     m_liveHosts = live.size();
+    m_zone = self.zone;
     // Before the operator writes the first configuration, the server list is all there is.
     m_role.update(live, self, {serversKnown(), ownWatchWorks()}, now);
     if (m_role.takeWatchesOutdated())
@@ -234,8 +281,8 @@
     if (observeEra(response.version.era, now) == policy::mirror::EraOrder::Outdated)
         return false;
     m_evacuations.onFollowed(response.evacuatedZones, address, now);
-    if (response.configVersion > version())
-        fetch(DocumentKind::Lists, address);
+    m_exchange.onReport(address, true, response.configVersion, {}, now);
+    m_exchange.tick(now);
     // While this host watches by itself, its own list is as new.
     if (m_wasWatching || response.version < m_serversVersion)
         return true;
@@ -319,21 +366,19 @@
     gossip.serverDigest = m_serverList.digest();
 }
 
-void PlatformCopy::onGossip(const ports::Gossip &gossip, const std::string &address, TimePoint now)
+void PlatformCopy::onGossip(const ports::Gossip &gossip, const policy::membership::Member &from,
+                            TimePoint now)
 {
+    const auto &address = from.peersAddress;
     if (gossip.storeEra != 0)
         observeEra(gossip.storeEra, now);
     compareServers(gossip, now);
     m_evacuations.onPeerSeen(address);
     const auto reported = gossip.listsVersion.revision;
-    if (reported <= version())
-        return;
-    if (m_staleSince == TimePoint{})
-        m_staleSince = now;
-    if (reported > m_highestVersion || m_highestVersionHost.empty()) {
-        m_highestVersion = reported;
-        m_highestVersionHost = address;
-    }
+    const auto delay = m_wasWatching ? watchDelayLimit : followDelayLimit;
+    m_exchange.onReport(address, from.zone == m_zone, reported, delay, now);
+    if (reported > version())
+        m_newerHost = address;
 }
 
 void PlatformCopy::compareServers(const ports::Gossip &gossip, TimePoint now)
@@ -355,60 +400,47 @@
     if (m_servers.mirror().failing() || !m_servers.mirror().complete())
         return;
     log.info("peers hold a newer server list own=" + std::to_string(m_serversVersion.revision));
-    m_servers.restart(now);
+    m_servers.checkNow(now);
 }
 
 void PlatformCopy::checkStale(TimePoint now)
 {
     checkServersStale(now);
-    if (version() >= m_highestVersion) {
-        m_staleSince = {};
-        return;
-    }
-    const auto limit = m_wasWatching ? watchDelayLimit : followDelayLimit;
-    if (m_staleSince == TimePoint{} || now - m_staleSince < limit)
+    m_exchange.tick(now);
+    const auto &schedule = m_exchange.schedule();
+    if (!schedule.overdue(now) || now < m_staleCheckAt)
         return;
-    m_staleSince = now;
-    log.info("peers hold a newer version=" + std::to_string(m_highestVersion)
-             + " own=" + std::to_string(version()) + " host=" + m_highestVersionHost
+    m_staleCheckAt = now + staleCheckPeriod;
+    log.info("peers hold a newer version=" + std::to_string(schedule.newest())
+             + " own=" + std::to_string(version())
              + " watch_age_ms=" + std::to_string(core::wholeMillis(configSyncAge(now))));
     // A watch on a connection that delivers no more data would end only at its time-out.
     if (m_wasWatching && !m_config.mirror().failing())
-        m_config.restart(now);
-    fetch(DocumentKind::Lists, m_highestVersionHost);
+        m_config.checkNow(now);
     if (!serversKnown())
-        fetch(DocumentKind::Fleet, m_highestVersionHost);
-}
-
-void PlatformCopy::fetch(DocumentKind kind, const std::string &address)
-{
-    ++m_fetches;
-    m_peers.call(address, ports::FetchRequest{kind}, fetchTimeout,
-                 [this, address, startedAt = core::Clock::now()](const ports::PeerResult &result) {
-                     if (result.outcome != ports::PeerOutcome::Answered) {
-                         ++m_failedFetches;
-                         log.info(
-                             "fetch failed host=" + address + " ms="
-                             + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
-                         // Accept the next host that reports the version.
-                         m_highestVersionHost.clear();
-                         return;
-                     }
-                     applyPeerCopy(std::get<ports::FetchResponse>(result.response));
-                 });
+        fetchServers(m_newerHost);
 }
 
-void PlatformCopy::applyPeerCopy(const ports::FetchResponse &copy)
+void PlatformCopy::fetchServers(const std::string &address)
 {
-    const auto parsed = nlohmann::json::parse(copy.text, nullptr, false);
-    if (parsed.is_discarded()) {
-        log.warning("malformed copy from a peer");
+    if (m_serversFetchPending)
         return;
-    }
-    if (copy.kind == DocumentKind::Lists)
-        return applyConfig(parsed, "peer");
+    m_serversFetchPending = true;
+    m_peers.call(address, ports::FetchRequest{DocumentKind::Fleet}, fetchTimeout,
+                 [this](const ports::PeerResult &result) {
+                     m_serversFetchPending = false;
+                     if (result.outcome == ports::PeerOutcome::Answered)
+                         applyPeerServers(std::get<ports::FetchResponse>(result.response));
+                 });
+}
+
+void PlatformCopy::applyPeerServers(const ports::FetchResponse &copy)
+{
     if (m_loadedFromStore || m_serversVersion.revision != 0)
         return;
+    const auto parsed = nlohmann::json::parse(copy.text, nullptr, false);
+    if (parsed.is_discarded())
+        return log.warning("malformed server list from a peer");
     m_serverList.loadFromPeer(parsed, core::Clock::now());
     m_servers.addKnown(m_serverList.ids());
     m_loadedFromPeer = true;
@@ -417,7 +449,7 @@
 ports::FetchResponse PlatformCopy::handleFetch(DocumentKind kind) const
 {
     if (kind == DocumentKind::Lists)
-        return {kind, version(), m_configText};
+        return m_exchange.handleFetch();
     return {kind, m_serversVersion.revision, m_serverList.toJson().dump()};
 }
 
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -2,6 +2,7 @@
 
 #include "adapters/loop/exchange_client.h"
 #include "core/clock.h"
+#include "daemon/forward/configuration_exchange.h"
 #include "daemon/forward/copy_follower.h"
 #include "daemon/forward/evacuation_sync.h"
 #include "daemon/forward/server_list.h"
@@ -23,6 +24,13 @@
 class PlatformCopy
 {
 public:
+    // The store's configuration as of one revision of the store.
+    struct StoredConfiguration
+    {
+        policy::access::ObjectRevision revision;
+        policy::access::ConfigurationId id;
+    };
+
     struct Hooks
     {
         // Returns the store's address.
@@ -58,11 +66,17 @@
     // Fills in the versions of this host's copies.
     void fillGossip(ports::Gossip &gossip, core::TimePoint now) const;
 
-    // Compares this host's configuration version with that of the host at `address`.
-    void onGossip(const ports::Gossip &gossip, const std::string &address, core::TimePoint now);
+    // Compares this host's copies with those of the host `from`.
+    void onGossip(const ports::Gossip &gossip, const policy::membership::Member &from,
+                  core::TimePoint now);
 
     // Returns this host's copy of a document, in reply to another host's fetch request.
     ports::FetchResponse handleFetch(ports::DocumentKind kind) const;
+    // Returns this host's configuration, for one that may have an older one.
+    ports::ConfigurationResponse handleConfiguration(const ports::ConfigurationRequest &request)
+    {
+        return m_exchange.handle(request);
+    }
 
     // Returns the changes of the server list since a version, for a host that follows this one.
     ports::CopyResponse handleFollower(const ports::CopyRequest &request,
@@ -77,20 +91,24 @@
     // Returns the version of the configuration in force; 0 without one.
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
     // Returns the configuration in force; version 0 without one.
-    const policy::access::ConfigurationId &configuration() const { return m_configuration; }
+    const policy::access::ConfigurationId &configuration() const { return m_exchange.inForce(); }
+    // Returns what the store's configuration was at the newest revision that this host's own calls
+    // covered; nothing if it is not known or was rejected.
+    const std::optional<StoredConfiguration> &stored() const { return m_stored; }
     // Returns whether the configuration in force has workspaces.
     bool hasWorkspaces() const { return m_table && m_table->workspaces(); }
     // Applies the configuration of an object that was read, if it is newer than the one in force.
-    // Returns the id of that configuration, or nothing if it is rejected.
-    std::optional<policy::access::ConfigurationId>
-    onConfigRead(const platform::StoreObject &object);
+    // Returns the id of that configuration, or nothing if it is rejected. `from`: the kind of read,
+    // for the log.
+    std::optional<policy::access::ConfigurationId> onConfigRead(const platform::StoreObject &object,
+                                                                const std::string &from);
     // Returns the time since the store last responded to this host's own call for the
     // configuration; an hour if it never did.
     core::Duration configSyncAge(core::TimePoint now) const;
     // Returns the number of documents that this host requested from others since the start, and how
     // many of these requests failed.
-    std::uint64_t fetches() const { return m_fetches; }
-    std::uint64_t failedFetches() const { return m_failedFetches; }
+    std::uint64_t fetches() const { return m_exchange.fetches(); }
+    std::uint64_t failedFetches() const { return m_exchange.failedFetches(); }
     // Returns the number of calls to the store since the start.
     std::uint64_t storeCalls() const
     {
@@ -126,14 +144,24 @@
                     core::TimePoint now);
     // Returns the age of the newest proof that the copies equal the store's.
     core::Millis confirmationAge(core::TimePoint now) const;
-    void applyConfig(const nlohmann::json &spec, const std::string &from);
+    std::optional<policy::access::ConfigurationId> readConfig(const platform::StoreObject &object,
+                                                              const std::string &from);
+    // Brings a configuration into force if it is newer. `text`: the same as other hosts get it;
+    // empty if that is not known. Returns whether it could be decoded.
+    bool applyConfig(const nlohmann::json &spec, std::string text, const std::string &from);
+    bool applyPeerConfig(std::string text);
+    // Records which configuration the store held, after a response to this host's own call.
+    void onConfigSynced(core::TimePoint now);
+    // Records that the store may hold no configuration.
+    void forgetStored();
     void checkStale(core::TimePoint now);
     // Compares this host's server list with that of a peer.
     void compareServers(const ports::Gossip &gossip, core::TimePoint now);
     // Watches the servers anew if peers have held a newer list for some time.
     void checkServersStale(core::TimePoint now);
-    void fetch(ports::DocumentKind kind, const std::string &address);
-    void applyPeerCopy(const ports::FetchResponse &copy);
+    // Fetches the server list of the host at `address`, for use until the store's has been read.
+    void fetchServers(const std::string &address);
+    void applyPeerServers(const ports::FetchResponse &copy);
 
     ports::PeerLink &m_peers;
     Hooks m_hooks;
@@ -148,24 +176,27 @@
     core::TimePoint m_syncedAt{};
     // The same for the configuration.
     core::TimePoint m_configSyncedAt{};
-    std::uint64_t m_fetches = 0;
-    std::uint64_t m_failedFetches = 0;
     policy::mirror::StoreEra m_era;
     ServerList m_serverList;
     StoreSync m_config;
     StoreSync m_servers;
     EvacuationSync m_evacuations;
     policy::forward::RouteTablePtr m_table;
-    // The configuration in the platform's JSON format, for other hosts.
-    std::string m_configText;
-    policy::access::ConfigurationId m_configuration;
-    // Highest configuration version known in the fleet.
-    std::uint64_t m_highestVersion = 0;
-    // Peer address of the host that reported the highest version; empty if none is known.
-    std::string m_highestVersionHost;
-    // When this host learnt of a newer version than its own, or last fetched it; zero if it has the
-    // highest version.
-    core::TimePoint m_staleSince{};
+    ConfigurationExchange m_exchange;
+    std::optional<StoredConfiguration> m_stored;
+    // The configuration object that was read last, and the configuration that it holds; nothing if
+    // it is rejected.
+    policy::access::ObjectRevision m_lastRead;
+    std::optional<policy::access::ConfigurationId> m_lastReadId;
+    // The configuration that the last response to this host's own calls left in the store.
+    std::optional<policy::access::ConfigurationId> m_synced;
+    // Availability zone of this host.
+    std::string m_zone;
+    // Peer address of the host that last stated a newer configuration.
+    std::string m_newerHost;
+    // Time of the next check whether the own watch still works, while peers hold a newer version.
+    core::TimePoint m_staleCheckAt{};
+    bool m_serversFetchPending = false;
     // When a peer first reported a newer server list than this host's; zero if none did since this
     // host's last response from the store.
     core::TimePoint m_serversStaleSince{};
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/logging/log.h"
 
+#include <algorithm>
+
 namespace goldcrestline::daemon::forward {
 
 using core::TimePoint;
@@ -16,6 +18,8 @@
 constexpr core::Millis responseTimeout{2000};
 // The same for a watch in addition to its wait, which the store has no work to answer.
 constexpr core::Millis watchResponseTimeout{1000};
+// Time without a further part of a response that has begun to arrive, after which the call ends.
+constexpr core::Millis progressTimeout{1000};
 
 } // namespace
 
@@ -27,6 +31,7 @@
 
 void StoreSync::tick(TimePoint now)
 {
+    extendTimeout(now);
     if (m_exchange != 0 && now >= m_timeoutAt) {
         const bool silent = m_mirror.watching() && !m_mirror.failing();
         m_client.abort(m_exchange);
@@ -44,11 +49,22 @@
         begin(*step, now);
 }
 
+void StoreSync::extendTimeout(TimePoint now)
+{
+    const auto received = m_exchange == 0 ? 0 : m_client.receivedBytes(m_exchange);
+    if (received <= m_received)
+        return;
+    m_received = received;
+    m_timeoutAt = std::max(m_timeoutAt, now + progressTimeout);
+}
+
 void StoreSync::begin(const policy::mirror::Step &step, TimePoint now)
 {
     ports::ExchangeRequest request;
     const auto *watch = std::get_if<policy::mirror::WatchStep>(&step);
     m_timeoutAt = now + responseTimeout;
+    m_received = 0;
+    m_waiting = watch != nullptr && !watch->immediate;
     if (watch != nullptr) {
         const auto wait = watch->immediate ? immediateWait : m_hooks.watchWait();
         request = platform::watchRequest(m_kind, watch->revision, wait);
@@ -128,8 +144,12 @@
     m_exchange = 0;
 }
 
-void StoreSync::restart(TimePoint now)
+void StoreSync::checkNow(TimePoint now)
 {
+    const bool inProgress =
+        m_exchange != 0 && (!m_waiting || m_client.receivedBytes(m_exchange) > 0);
+    if (inProgress)
+        return;
     abortCall(now);
     m_mirror.onWatchAborted(now);
     tick(now);
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -40,12 +40,13 @@
     StoreSync(std::string kind, adapters::loop::ExchangeClient &client,
               policy::mirror::Mirror mirror, Hooks hooks);
 
-    // Makes the next call when it is due, and aborts a call that timed out. Call
-    // periodically.
+    // Makes the next call when it is due, and aborts a call that timed out: one without a part of
+    // the response for some time. Call periodically.
     void tick(core::TimePoint now);
 
-    // Aborts the call in flight and calls the store again, since other hosts hold a newer state.
-    void restart(core::TimePoint now);
+    // Aborts a watch that waits and calls the store again, since other hosts hold a newer state. A
+    // call whose response has begun to arrive, or that the store answers at once, goes on.
+    void checkNow(core::TimePoint now);
 
     // Aborts the call in flight and makes no further ones until the next tick(), which begins with
     // a list.
@@ -66,6 +67,8 @@
     void begin(const policy::mirror::Step &step, core::TimePoint now);
     void onReply(bool watching, const platform::StoreReply &reply, core::TimePoint now);
     void abortCall(core::TimePoint now);
+    // Extends the time-out if a part of the response arrived since the last call of this function.
+    void extendTimeout(core::TimePoint now);
     void logFailure(const platform::StoreReply &reply);
 
     std::string m_kind;
@@ -75,6 +78,10 @@
     ports::ExchangeId m_exchange = 0;
     core::TimePoint m_startedAt{};
     core::TimePoint m_timeoutAt{};
+    // The call in flight is a watch that the store answers only after a change.
+    bool m_waiting = false;
+    // Bytes of the response when the time-out was last extended.
+    std::uint64_t m_received = 0;
     std::uint64_t m_calls = 0;
 };
 
--- a/packages/ports/exchange.h
+++ b/packages/ports/exchange.h
@@ -68,6 +68,9 @@
     std::function<bool(int status, const Headers &headers)> accept;
     // Time at which the exchange times out and its connection is closed.
     core::TimePoint deadline = core::TimePoint::max();
+    // While the response arrives, the deadline is at least this long after its last bytes, so that
+    // a large response is not given up because its link is slow. 0: the deadline is fixed.
+    core::Millis progressTimeout{0};
     // Uses a new connection instead of a pooled one, and closes it afterwards.
     bool freshConnection = false;
 };
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -51,6 +51,8 @@
     std::optional<core::Millis> proofAge;
     std::uint64_t proofVersion = 0;
     std::uint64_t proofDigest = 0;
+    // Revision of the store, of era `storeEra`, at which that was so; 0 if unknown.
+    std::uint64_t proofRevision = 0;
     // Age of the platform's newest confirmation of the configuration known to the sender.
     core::Millis confirmationAge{0};
 };
@@ -83,6 +85,25 @@
     std::string text;
 };
 
+// For routes: requests the receiver's configuration.
+struct ConfigurationRequest
+{
+    // The sender's configuration; 0 if it has none.
+    std::uint64_t version = 0;
+    std::uint64_t digest = 0;
+};
+struct ConfigurationResponse
+{
+    // The receiver's configuration; 0 if it has none.
+    std::uint64_t version = 0;
+    std::uint64_t digest = 0;
+    // Digest of the configuration that `delta` changes; 0 for the empty document.
+    std::uint64_t baseDigest = 0;
+    // What turns that configuration into the receiver's, compressed; empty if the receiver's is not
+    // newer than the sender's.
+    std::string delta;
+};
+
 // For routes: requests the changes of the receiver's copy of the server list since a version of the
 // sender's copy, and how recent the receiver's copies are.
 struct CopyRequest
@@ -170,9 +191,10 @@
 };
 
 using PeerRequest = std::variant<Gossip, ProbeRequest, FetchRequest, RunRequest, BorrowRequest,
-                                 AdoptRequest, CopyRequest, QuotaRequest>;
-using PeerResponse = std::variant<Gossip, ProbeResponse, FetchResponse, RunResponse, BorrowResponse,
-                                  AdoptResponse, CopyResponse, QuotaResponse>;
+                                 AdoptRequest, CopyRequest, QuotaRequest, ConfigurationRequest>;
+using PeerResponse =
+    std::variant<Gossip, ProbeResponse, FetchResponse, RunResponse, BorrowResponse, AdoptResponse,
+                 CopyResponse, QuotaResponse, ConfigurationResponse>;
 
 // Outcome of a call to a peer.
 enum class PeerOutcome {
@@ -208,7 +230,8 @@
 public:
     virtual ~PeerLink() = default;
 
-    // Calls the host at `address`. `done` is called exactly once, at the latest after `timeout`.
+    // Calls the host at `address`. `done` is called exactly once, at the latest when `timeout` has
+    // passed without a part of the response.
     virtual void call(const std::string &address, PeerRequest request, core::Millis timeout,
                       PeerHandler done) = 0;
 };
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -37,6 +37,7 @@
     gossip.proofAge = core::Millis(0);
     gossip.proofVersion = 8;
     gossip.proofDigest = 99;
+    gossip.proofRevision = 4711;
     gossip.leavingServers = {{"server", 5}};
     gossip.requestsPerSecond = 12.5F;
     gossip.crashes = {{"digest", {"server", 5}, true, false, core::Millis(70), 1ULL << 40}};
@@ -56,6 +57,7 @@
     CHECK(copy.proofAge == core::Millis(0));
     CHECK(copy.proofVersion == 8);
     CHECK(copy.proofDigest == 99);
+    CHECK(copy.proofRevision == 4711);
     CHECK(copy.requestsPerSecond == 12.5F);
     CHECK(copy.leavingServers.at(0).serverId == "server");
     CHECK(copy.crashes.at(0).repeated);
--- a/tests/unit/platform_copy_test.cpp
+++ b/tests/unit/platform_copy_test.cpp
@@ -93,6 +93,9 @@
     {
         policy::membership::Member self;
         self.name = "self";
+        policy::membership::Member peer;
+        peer.name = "peer";
+        peer.peersAddress = "127.0.0.1:9";
         const auto end = core::Clock::now() + limit;
         core::TimePoint gossipAt{};
         while (inForce < version && core::Clock::now() < end) {
@@ -107,7 +110,7 @@
             gossipAt = now + 300ms;
             ports::Gossip gossip;
             gossip.listsVersion.revision = 2;
-            copy.onGossip(gossip, "127.0.0.1:9", now);
+            copy.onGossip(gossip, peer, now);
         }
         return inForce >= version;
     }
