Do not take a response whose head is cut off for a whole one on the command line

Reported by operators of similar systems: a server stops in the middle of its answer's head and closes, and callers get a 200 with an empty body.

The client now requires the empty line that ends the head.

--- a/packages/adapters/curl/http_client.cpp
+++ b/packages/adapters/curl/http_client.cpp
@@ -32,6 +32,9 @@
     TransferResult result;
     std::function<bool(int, const std::map<std::string, std::string> &)> accept;
     CURL *easy = nullptr;
+    // The empty line after the headers was received. libcurl reports success if the connection is
+    // closed before it.
+    bool headComplete = false;
 };
 
 std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *user)
@@ -39,7 +42,11 @@
     auto &sink = *static_cast<ResponseSink *>(user);
     auto &headers = sink.result.headers;
     const std::string line(data, size * n);
-    if (line == "\r\n" && sink.accept) {
+    const bool endsHead = line == "\r\n";
+    // An interim response has a head of its own; trailers follow the body.
+    if (endsHead || line.starts_with("HTTP/"))
+        sink.headComplete = endsHead;
+    if (endsHead && sink.accept) {
         long status = 0;
         curl_easy_getinfo(sink.easy, CURLINFO_RESPONSE_CODE, &status);
         // Returning another count than the given one makes libcurl fail the transfer and close the
@@ -65,10 +72,10 @@
     return size * n;
 }
 
-TransferOutcome transferOutcome(CURLcode code, bool sent)
+TransferOutcome transferOutcome(CURLcode code, bool sent, bool headComplete)
 {
     if (code == CURLE_OK)
-        return TransferOutcome::Answered;
+        return headComplete ? TransferOutcome::Answered : TransferOutcome::Broken;
     if (!sent)
         return TransferOutcome::NotReached;
     return code == CURLE_OPERATION_TIMEDOUT ? TransferOutcome::TimedOut : TransferOutcome::Broken;
@@ -206,7 +213,8 @@
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentRequestBytes);
         active->sink.result.status = static_cast<int>(status);
         active->sink.result.sent = sentRequestBytes > 0;
-        active->sink.result.outcome = transferOutcome(code, active->sink.result.sent);
+        active->sink.result.outcome =
+            transferOutcome(code, active->sink.result.sent, active->sink.headComplete);
         curl_multi_remove_handle(m_impl->multi, easy);
         curl_slist_free_all(active->headers);
         m_impl->idleHandles.push_back(easy);
--- a/tests/unit/exchange_client_test.cpp
+++ b/tests/unit/exchange_client_test.cpp
@@ -205,6 +205,22 @@
     }
 }
 
+TEST_CASE("a response whose head is cut off at any byte is no response")
+{
+    ClientFixture it;
+    const std::string framing = GENERATE("", "Content-Length: 0\r\n", "Content-Length: 4\r\n",
+                                         "Transfer-Encoding: chunked\r\n");
+    const std::string whole = "HTTP/1.1 200 OK\r\n" + framing + "X-Server-Stamp: 3e1b.07\r\n\r\n";
+    for (std::size_t n = 1; n < whole.size(); ++n)
+        it.server.replies.push_back({whole.substr(0, n), true});
+    for (std::size_t n = 1; n < whole.size(); ++n) {
+        CAPTURE(framing, n);
+        const auto result = it.get();
+        CHECK(result.outcome == ExchangeOutcome::Broken);
+        CHECK(result.status == 0);
+    }
+}
+
 TEST_CASE("a response body without a length is complete only after a clean close")
 {
     ClientFixture it;
