--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -109,6 +109,10 @@
     }
     if (wasFailing)
         log.info("recovered kind=" + m_kind);
+    if (reply.unreadableObjects > 0) {
+        log.warning("objects without a readable name kind=" + m_kind
+                    + " count=" + std::to_string(reply.unreadableObjects));
+    }
     if (watching) {
         for (const auto &it : reply.changes) {
             m_mirror.onChange(it.object.name, it.deleted, now);
