Answer the last requests of a planned stop before the process exits

Reported by operators of similar systems: in a planned stop, in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end. It could happen here: 3 of 24 requests sent after SIGTERM, to a service that takes 8 s, were cut ('aborted at exit running=3').

Cause: the exit time bounded the process, but not the deadlines of its calls, and a request was admitted however little time was left.

The fix: from SIGTERM on a request is refused with 503 if its latency objective ends after the last response can be sent, deadlines of the others and of the calls in progress end there, and 0.3 s remain to send these responses. Servers get no more time than that.

--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -56,6 +56,8 @@
 constexpr int maxTtlMultiple = 3;
 // A stopping host exits this long before the end of its grace period, at which it would be killed.
 constexpr core::Millis exitMargin{700};
+// Time before that at which the last requests are answered, for the responses to be sent.
+constexpr core::Millis flushTime{300};
 // Interval between checks of the settings file's modification time, for changes without SIGHUP.
 constexpr core::Millis settingsCheckPeriod{2000};
 // Time in which a host that starts waits for copies of other hosts, at the first start of the
@@ -602,6 +604,7 @@
         m_drainUntil = now + maxTtlMultiple * m_settings->forward.keepMs.millis();
         const std::chrono::duration<double> grace(m_settings->forward.graceS.value);
         m_exitAt = now + std::chrono::duration_cast<core::Duration>(grace) - exitMargin;
+        m_forward.shutDown(m_exitAt - flushTime, now);
     }
 
     void logTraffic()
--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -157,15 +157,40 @@
     }
     policy::forward::CallTimes times;
     times.startedAt = receivedAt;
-    times.deadline = receivedAt + timeout;
+    times.deadline = std::min(receivedAt + timeout, m_endAt);
     times.objectiveAt = receivedAt + route.objective - elapsedBefore - m_limits.callerRoundTrip;
     times.refuseAt = receivedAt
         + std::chrono::duration_cast<core::Duration>(route.objective * m_limits.maxQueueShare);
     return times;
 }
 
+void ForwardService::shutDown(TimePoint endAt, TimePoint now)
+{
+    m_endAt = endAt;
+    for (auto &it : m_calls) {
+        it.second->call.limitDeadline(endAt);
+        scheduleTimer(it.first, *it.second, now);
+    }
+}
+
+bool ForwardService::refuseLate(AdmittedRequest &request, TimePoint now)
+{
+    if (now + request.route->objective <= m_endAt)
+        return false;
+    ++m_counters.refused;
+    log.info("refused while stopping id=" + request.metadata.requestId
+             + " route=" + request.route->name);
+    if (!request.workspace.empty())
+        m_hostHooks.onNotExecuted(request.workspace, now);
+    request.call.respond(
+        errorResponseFor(ResultCode::HostStopping, {}, policy::forward::retryDelay({}, 0)));
+    return true;
+}
+
 void ForwardService::handle(AdmittedRequest request, TimePoint now)
 {
+    if (refuseLate(request, now))
+        return;
     const auto &route = *request.route;
     auto &call = request.call;
     auto services = route.shards;
--- a/packages/daemon/forward/forward_service.h
+++ b/packages/daemon/forward/forward_service.h
@@ -100,6 +100,10 @@
     // disconnects first.
     void handle(AdmittedRequest request, core::TimePoint now);
 
+    // Ends all calls by `endAt`, at which the process is about to exit: a call in progress is
+    // answered then, and a request that would take until later is refused.
+    void shutDown(core::TimePoint endAt, core::TimePoint now);
+
     // Cancels the call whose caller closed its connection. `httpCallId` is its id at the HTTP
     // server.
     void onCallerDisconnect(std::uint64_t httpCallId, core::TimePoint now);
@@ -171,6 +175,8 @@
     // Returns whether another call sent the same content to a server that has not responded yet.
     bool isRunningElsewhere(std::uint64_t id,
                             const policy::quarantine::RequestContent &content) const;
+    // Refuses a request that would not end before the process does; returns whether it did.
+    bool refuseLate(AdmittedRequest &request, core::TimePoint now);
     policy::forward::CallTimes makeCallTimes(const AdmittedRequest &request);
     // Carries out the actions that a call's state machine returned.
     void apply(std::uint64_t id, policy::forward::CallActions &actions, core::TimePoint now);
@@ -241,6 +247,8 @@
     // When the requests that wait for a cold server are tried again.
     core::TimePoint m_coldCheckAt = core::TimePoint::max();
     policy::forward::FairAdmission m_fair{m_backends, m_waitQueue};
+    // Time by which all calls end, during a planned stop.
+    core::TimePoint m_endAt = core::TimePoint::max();
     policy::forward::AttemptId m_lastAttempt = 0;
     std::uint64_t m_lastCall = 0;
     ForwardCounters m_counters;
--- a/packages/policy/forward/call.h
+++ b/packages/policy/forward/call.h
@@ -192,6 +192,8 @@
     bool finished() const { return m_finished; }
     const Route &route() const { return m_route; }
     const CallTimes &times() const { return m_times; }
+    // Ends the call no later than `at`.
+    void limitDeadline(core::TimePoint at) { m_times.deadline = std::min(m_times.deadline, at); }
     const std::vector<std::string> &services() const { return m_services; }
     // Returns whether the part is queued for any server of its service, so that calls behind it in
     // rank have to wait. A part that waits for the retry budget, for permission, or for a server
--- a/tests/process/routes_test.cpp
+++ b/tests/process/routes_test.cpp
@@ -259,6 +259,52 @@
     }
 }
 
+TEST_CASE("requests late in the grace period of a planned stop are answered or refused, not cut",
+          "[process][routes]")
+{
+    RoutedCluster cluster(1);
+    auto spec = RoutedCluster::configuration(2);
+    for (auto &it : spec["routes"])
+        it["timeout_ms"] = 15000;
+    cluster.applyConfiguration(spec);
+    REQUIRE(eventually([&] { return cluster.metric(0, "configuration_version") == 2; }));
+    // Longer than the grace period.
+    cluster.setBackends({{"service", "single"}, {"work_ms", 8000}});
+    cluster.host(0).process->signal(SIGTERM);
+    struct Sent
+    {
+        std::string id;
+        TransferResult result;
+        std::thread thread;
+    };
+    std::vector<std::unique_ptr<Sent>> all;
+    for (int i = 0; i < 24; ++i) {
+        all.push_back(std::make_unique<Sent>());
+        auto &it = *all.back();
+        it.id = "late" + std::to_string(i);
+        it.thread = std::thread([&cluster, &it, path = i % 2 == 0 ? "/one/x" : "/claim/x"] {
+            it.result = cluster.sendRequest(0, path, it.id, "GET", {}, 12000);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(180));
+    }
+    CHECK(cluster.host(0).process->wait(6) == 0);
+    for (const auto &it : all)
+        it->thread.join();
+    const auto runs = cluster.runs();
+    int answered = 0;
+    for (const auto &it : all) {
+        CAPTURE(it->id, it->result.status, cluster.host(0).process->output());
+        // After the drain, new connections are not accepted.
+        const bool notReached = it->result.outcome == TransferOutcome::NotReached;
+        const bool complete = it->result.outcome == TransferOutcome::Answered;
+        CHECK((notReached || complete));
+        answered += complete ? 1 : 0;
+        if (it->result.status == 503)
+            CHECK(runsOfId(runs, it->id) == 0);
+    }
+    CHECK(answered >= 10);
+}
+
 TEST_CASE("changed settings are reloaded without interrupting requests, with and without a signal",
           "[process][routes]")
 {
