Decode only what changed of a configuration from another host

The text of a configuration from a peer is split into its routes, and a route whose text the last configuration had is not decoded again; the workspaces neither, if none of them changed.

Test: ConfigDecoder reads the same from a text as decodeConfig, over 200 changes.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -153,34 +153,44 @@
                       longWatchWait);
 }
 
-bool PlatformCopy::applyConfig(const nlohmann::json &spec, std::string text,
-                               const std::string &from)
+bool PlatformCopy::applyConfig(const nlohmann::json &spec, const std::string &from)
 {
     const auto startedAt = core::Clock::now();
-    auto table = platform::decodeConfig(spec);
+    const auto table = platform::decodeConfig(spec);
     if (!table.has_value()) {
         log.error("configuration refused from=" + from + ": " + table.error().text());
         return false;
     }
-    if (m_table && table.value()->version() <= m_table->version())
-        return true;
-    m_table = std::move(table.value());
-    if (text.empty())
-        text = platform::configText(spec);
+    if (table.value()->version() > version())
+        bringIntoForce(table.value(), platform::configText(spec), from, startedAt);
+    return true;
+}
+
+bool PlatformCopy::applyPeerConfig(std::string text)
+{
+    const auto startedAt = core::Clock::now();
+    const auto table = m_decoder.decode(text);
+    if (!table.has_value()) {
+        log.error("configuration refused from=peer: " + table.error().text());
+        return false;
+    }
+    if (table.value()->version() > version())
+        bringIntoForce(table.value(), std::move(text), "peer", startedAt);
+    return true;
+}
+
+void PlatformCopy::bringIntoForce(policy::forward::RouteTablePtr table, std::string text,
+                                  const std::string &from, TimePoint startedAt)
+{
+    m_table = std::move(table);
     const auto bytes = text.size();
-    m_exchange.setInForce({m_table->version(), core::stableHash(text)}, std::move(text));
+    const auto digest = core::stableHash(text);
+    m_exchange.setInForce({m_table->version(), digest}, std::move(text));
     m_hooks.onRoutes(m_table);
     log.info("configuration in force version=" + std::to_string(m_table->version())
              + " from=" + from + " routes=" + std::to_string(m_table->routes().size())
              + " bytes=" + std::to_string(bytes)
              + " ms=" + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
-    return true;
-}
-
-bool PlatformCopy::applyPeerConfig(std::string text)
-{
-    const auto parsed = nlohmann::json::parse(text, nullptr, false);
-    return !parsed.is_discarded() && applyConfig(parsed, std::move(text), "peer");
 }
 
 void PlatformCopy::onConfigSynced(TimePoint now)
@@ -219,7 +229,7 @@
     if (*stated < version())
         return policy::access::ConfigurationId{*stated, 0};
     if (*stated > version()) {
-        if (!applyConfig(object.spec, {}, from) || *stated > version())
+        if (!applyConfig(object.spec, from) || *stated > version())
             return std::nullopt;
         return configuration();
     }
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -146,10 +146,12 @@
     core::Millis confirmationAge(core::TimePoint now) const;
     std::optional<policy::access::ConfigurationId> readConfig(const platform::StoreObject &object,
                                                               const std::string &from);
-    // Brings a configuration into force if it is newer. `text`: the same as other hosts get it;
-    // empty if that is not known. Returns whether it could be decoded.
-    bool applyConfig(const nlohmann::json &spec, std::string text, const std::string &from);
+    // Bring a configuration into force if it is newer. Return whether it could be decoded.
+    bool applyConfig(const nlohmann::json &spec, const std::string &from);
     bool applyPeerConfig(std::string text);
+    // `text`: the configuration as other hosts get it.
+    void bringIntoForce(policy::forward::RouteTablePtr table, std::string text,
+                        const std::string &from, core::TimePoint startedAt);
     // Records which configuration the store held, after a response to this host's own call.
     void onConfigSynced(core::TimePoint now);
     // Records that the store may hold no configuration.
@@ -182,6 +184,7 @@
     StoreSync m_servers;
     EvacuationSync m_evacuations;
     policy::forward::RouteTablePtr m_table;
+    platform::ConfigDecoder m_decoder;
     ConfigurationExchange m_exchange;
     std::optional<StoredConfiguration> m_stored;
     // The configuration object that was read last, and the configuration that it holds; nothing if
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -287,3 +287,49 @@
     const auto error = platform::errorResponse(503, 2025, "none", core::Millis(75));
     CHECK(*ports::findHeader(error.headers, "retry-after") == "0.075");
 }
+
+TEST_CASE("ConfigDecoder reads the same from a text as decodeConfig, and again after changes")
+{
+    platform::ConfigDecoder decoder;
+    auto spec = configSpec();
+    for (int i = 0; i < 20; ++i) {
+        auto route = spec["routes"][2];
+        route["path_prefix"] = "/p" + std::to_string(i) + "/";
+        spec["routes"].push_back(route);
+    }
+    spec["tenants"] = json::parse(R"([{"name":"w1","api_keys":["k1"]},{"name":"w2"}])");
+    std::mt19937 random(3);
+    for (int change = 0; change < 200; ++change) {
+        spec["version"] = 7 + change;
+        const auto at = random() % spec["routes"].size();
+        if (change % 3 == 0)
+            spec["routes"][at]["timeout_ms"] = 100 + change;
+        if (change % 7 == 0 && spec["routes"].size() > 3)
+            spec["routes"].erase(at);
+        if (change % 5 == 0)
+            spec["tenants"][0]["api_keys"] = json::array({"k" + std::to_string(change)});
+        if (change % 40 == 39)
+            spec.erase("tenants");
+        const auto expected = platform::decodeConfig(spec).value();
+        const auto table = decoder.decode(platform::configText(spec)).value();
+        CHECK(table->version() == expected->version());
+        REQUIRE(table->routes().size() == expected->routes().size());
+        for (std::size_t i = 0; i < table->routes().size(); ++i) {
+            CHECK(table->routes()[i].prefix == expected->routes()[i].prefix);
+            CHECK(table->routes()[i].timeout == expected->routes()[i].timeout);
+            CHECK(table->routes()[i].shards == expected->routes()[i].shards);
+        }
+        REQUIRE((table->workspaces() == nullptr) == (expected->workspaces() == nullptr));
+        if (!table->workspaces()) {
+            spec["tenants"] = json::parse(R"([{"name":"w1","api_keys":["k1"]}])");
+            continue;
+        }
+        const auto key = spec["tenants"][0]["api_keys"][0].get<std::string>();
+        CHECK(table->workspaces()->findByDigest(policy::access::digestOf(key)) != nullptr);
+        CHECK(table->workspaces()->workspaces().size()
+              == expected->workspaces()->workspaces().size());
+    }
+    for (const char *it :
+         {"", "[]", "{}", "{\"routes\":[]}", "{\"routes\":{}}", "{\"routes\":[7]}"})
+        CHECK_FALSE(decoder.decode(it).has_value());
+}
