Tell hosts of earlier versions from slow ones before asking for the whole configuration

Found on reading the change again: after any failed transfer the next request was for the whole text, since the host might be of a version that knows no deltas. After a time-out on a slow link that is the fault that was mended. The peer link now reports that a peer does not know a request (status 400), and only then, at once, the whole text is fetched. A response whose base was replaced meanwhile is no failure; after one that is not usable the next request states no base. A fetch of the server list needs a known host.

--- a/packages/adapters/compression/zlib.cpp
+++ b/packages/adapters/compression/compression.cpp
@@ -1,4 +1,4 @@
-#include "adapters/compression/zlib.h"
+#include "adapters/compression/compression.h"
 
 #include <algorithm>
 #include <zlib.h>
--- a/packages/adapters/peers/loop_peer_link.cpp
+++ b/packages/adapters/peers/loop_peer_link.cpp
@@ -220,6 +220,8 @@
     {
         if (result.outcome == ports::ExchangeOutcome::NotReached)
             return {PeerOutcome::NotReached, {}};
+        if (result.outcome == ports::ExchangeOutcome::Answered && result.status == statusBadRequest)
+            return {PeerOutcome::Unknown, {}};
         if (result.outcome != ports::ExchangeOutcome::Answered || result.status != 200)
             return {PeerOutcome::NoResponse, {}};
         auto message = decode(result.body);
--- a/packages/daemon/forward/configuration_exchange.cpp
+++ b/packages/daemon/forward/configuration_exchange.cpp
@@ -1,11 +1,12 @@
 #include "daemon/forward/configuration_exchange.h"
 
-#include "adapters/compression/zlib.h"
+#include "adapters/compression/compression.h"
 #include "adapters/logging/log.h"
 #include "core/hash.h"
 #include "policy/mirror/document_delta.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace goldcrestline::daemon::forward {
 
@@ -45,20 +46,25 @@
 
 void ConfigurationExchange::tick(TimePoint now)
 {
-    if (const auto address = m_schedule.next(now))
-        fetch(*address, now);
+    if (const auto address = m_schedule.next(now)) {
+        const auto base = std::exchange(m_deltaRefused, false) ? 0 : m_inForce.digest;
+        fetch(*address, ports::ConfigurationRequest{m_inForce.version, base}, now);
+    }
 }
 
-void ConfigurationExchange::fetch(const std::string &address, TimePoint now)
+void ConfigurationExchange::fetch(const std::string &address, const ports::PeerRequest &request,
+                                  TimePoint now)
 {
     ++m_fetches;
-    // A host of an earlier version does not know the request; then each second attempt is for it.
-    const bool whole = m_schedule.failures() % 2 == 1;
-    const auto request = whole
-        ? ports::PeerRequest(ports::FetchRequest{ports::DocumentKind::Lists})
-        : ports::PeerRequest(ports::ConfigurationRequest{m_inForce.version, m_inForce.digest});
     m_peers.call(address, request, transferTimeout,
-                 [this, address, startedAt = now](const ports::PeerResult &result) {
+                 [this, address, startedAt = now,
+                  whole = std::holds_alternative<ports::FetchRequest>(request)](
+                     const ports::PeerResult &result) {
+                     // A host of an earlier version knows only requests for the whole text.
+                     if (result.outcome == ports::PeerOutcome::Unknown && !whole) {
+                         return fetch(address, ports::FetchRequest{ports::DocumentKind::Lists},
+                                      core::Clock::now());
+                     }
                      onResult(result, address, startedAt);
                  });
 }
@@ -66,21 +72,22 @@
 void ConfigurationExchange::onResult(const ports::PeerResult &result, const std::string &address,
                                      TimePoint startedAt)
 {
-    bool usable = result.outcome == ports::PeerOutcome::Answered;
-    if (usable) {
+    const auto now = core::Clock::now();
+    const bool answered = result.outcome == ports::PeerOutcome::Answered;
+    bool usable = false;
+    if (answered) {
         const auto *delta = std::get_if<ports::ConfigurationResponse>(&result.response);
         usable = delta != nullptr ? onDelta(*delta)
                                   : onWhole(std::get<ports::FetchResponse>(result.response));
     }
-    const auto now = core::Clock::now();
+    m_deltaRefused = answered && !usable;
     m_schedule.onEnded(usable, now);
     const auto took =
         " host=" + address + " ms=" + std::to_string(core::wholeMillis(now - startedAt));
     if (usable)
         return log.info("fetched version=" + std::to_string(m_inForce.version) + took);
     ++m_failedFetches;
-    log.warning("fetch failed answered="
-                + std::to_string(result.outcome == ports::PeerOutcome::Answered ? 1 : 0) + took);
+    log.warning("fetch failed answered=" + std::to_string(answered ? 1 : 0) + took);
 }
 
 bool ConfigurationExchange::onDelta(const ports::ConfigurationResponse &response)
@@ -88,9 +95,10 @@
     // Another response may have come first.
     if (response.version != 0 && response.version <= m_inForce.version)
         return true;
-    if (response.delta.empty())
-        return false;
+    // The own configuration changed while the response was under way.
     if (response.baseDigest != 0 && response.baseDigest != m_inForce.digest)
+        return true;
+    if (response.delta.empty())
         return false;
     const auto delta = adapters::compression::decompress(response.delta, maxTextBytes);
     if (!delta)
--- a/packages/daemon/forward/configuration_exchange.h
+++ b/packages/daemon/forward/configuration_exchange.h
@@ -8,7 +8,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -64,7 +63,7 @@
         std::vector<std::uint64_t> pieces;
     };
 
-    void fetch(const std::string &address, core::TimePoint now);
+    void fetch(const std::string &address, const ports::PeerRequest &request, core::TimePoint now);
     void onResult(const ports::PeerResult &result, const std::string &address,
                   core::TimePoint startedAt);
     // Returns whether the response is usable.
@@ -82,6 +81,8 @@
     std::deque<Base> m_bases;
     // Compressed deltas to the configuration in force, by the digest of their base.
     std::map<std::uint64_t, std::string> m_deltas;
+    // The last response was not usable: the next request states no base.
+    bool m_deltaRefused = false;
     std::uint64_t m_fetches = 0;
     std::uint64_t m_failedFetches = 0;
 };
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -292,6 +292,8 @@
         return false;
     m_evacuations.onFollowed(response.evacuatedZones, address, now);
     m_exchange.onReport(address, true, response.configVersion, {}, now);
+    if (response.configVersion > version())
+        m_newerHost = address;
     m_exchange.tick(now);
     // While this host watches by itself, its own list is as new.
     if (m_wasWatching || response.version < m_serversVersion)
@@ -427,7 +429,7 @@
     // A watch on a connection that delivers no more data would end only at its time-out.
     if (m_wasWatching && !m_config.mirror().failing())
         m_config.checkNow(now);
-    if (!serversKnown())
+    if (!serversKnown() && !m_newerHost.empty())
         fetchServers(m_newerHost);
 }
 
--- a/packages/policy/mirror/fetch_schedule.h
+++ b/packages/policy/mirror/fetch_schedule.h
@@ -47,8 +47,6 @@
     bool overdue(core::TimePoint now) const { return m_dueAt && now >= *m_dueAt; }
     // Returns the newest version that a host has stated or this host has.
     std::uint64_t newest() const { return m_newest; }
-    // Returns the number of failed transfers since the last one that succeeded.
-    int failures() const { return m_failures; }
 
 private:
     struct Source
--- a/packages/ports/peer_link.h
+++ b/packages/ports/peer_link.h
@@ -203,6 +203,8 @@
     NotReached,
     // The call was sent and no response was received: the peer may have processed it.
     NoResponse,
+    // The peer did not process the call, since it does not know this kind of request.
+    Unknown,
 };
 
 struct PeerResult
