--- a/packages/daemon/forward/configuration_exchange.cpp
+++ b/packages/daemon/forward/configuration_exchange.cpp
@@ -63,7 +63,7 @@
                      // A host of an earlier version knows only requests for the whole text.
                      if (result.outcome == ports::PeerOutcome::Unknown && !whole) {
                          return fetch(address, ports::FetchRequest{ports::DocumentKind::Lists},
-                                      core::Clock::now());
+                                      m_hooks.now());
                      }
                      onResult(result, address, startedAt);
                  });
@@ -72,7 +72,7 @@
 void ConfigurationExchange::onResult(const ports::PeerResult &result, const std::string &address,
                                      TimePoint startedAt)
 {
-    const auto now = core::Clock::now();
+    const auto now = m_hooks.now();
     const bool answered = result.outcome == ports::PeerOutcome::Answered;
     bool usable = false;
     if (answered) {
--- a/packages/daemon/forward/configuration_exchange.h
+++ b/packages/daemon/forward/configuration_exchange.h
@@ -23,6 +23,8 @@
     {
         // Returns a uniform number in [0, 1).
         std::function<double()> random;
+        // Returns the present time, at which a response is handled.
+        std::function<core::TimePoint()> now;
         // Applies a configuration, in the platform's JSON format, that another host sent. Returns
         // whether it could be read.
         std::function<bool(std::string text)> apply;
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -58,7 +58,7 @@
       m_servers(platform::names::serversKind, client, makeMirror(), serverHooks()),
       m_evacuations(evacuationTime, client, backends, peers, makeMirror(), evacuationHooks()),
       m_exchange(peers,
-                 {[this] { return m_hooks.random(); },
+                 {[this] { return m_hooks.random(); }, core::Clock::now,
                   [this](std::string text) { return applyPeerConfig(std::move(text)); }})
 { }
 
--- a/tests/unit/configuration_exchange_test.cpp
+++ b/tests/unit/configuration_exchange_test.cpp
@@ -49,6 +49,7 @@
 {
     std::map<std::string, ConfigurationExchange *> hosts;
     std::vector<std::string> called;
+    TimePoint now = start;
     // Bytes of the last response.
     std::size_t responseBytes = 0;
     // Hosts do not answer in time.
@@ -93,7 +94,7 @@
 
     explicit Host(Network &network)
         : exchange(network,
-                   {[] { return 0.5; },
+                   {[] { return 0.5; }, [&network] { return network.now; },
                     [this](std::string it) {
                         const auto parsed = json::parse(it, nullptr, false);
                         if (parsed.is_discarded())
@@ -122,6 +123,7 @@
     // Lets the follower hear of the watcher's version and fetch it.
     void follow(TimePoint now = start)
     {
+        network.now = now;
         follower.exchange.onReport("watcher", true, watcher.exchange.inForce().version, {}, now);
         follower.exchange.tick(now);
     }
