Ask for the configuration anew when the watch of the servers may be unanswered

A version that was written at 02:25:07 had reached none of five hosts 12 s later.

Cause: the store had hung, which left the watches of all hosts unanswered. Each host aborted its watch of the servers ('peers hold a newer server list', 'call aborted kind=servers ms=2321 received=0'), which thereby never counted as silent, and kept its watch of the configuration for up to 26 s. No peer had the version, so that gossip could not help.

The fix: a host that asks for the servers anew, or whose calls succeed again after failures, asks anew by all syncs that wait. A sync without a call in flight is left to its schedule.

Test: a change is in force although the store left the watches of all hosts unanswered; red with the earlier line, which is the mutant silent-with-servers.

--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -131,7 +131,6 @@
 
 void PlatformCopy::onWatchSilent(TimePoint now)
 {
-    // The sync whose watch was silent is failing now.
     checkWatch(m_config, now);
     checkWatch(m_servers, now);
     m_evacuations.checkWatch(now);
@@ -412,7 +411,8 @@
     if (m_servers.mirror().failing() || !m_servers.mirror().complete())
         return;
     log.info("peers hold a newer server list own=" + std::to_string(m_serversVersion.revision));
-    m_servers.checkNow(now);
+    // The store may have left the watches of all kinds unanswered.
+    onWatchSilent(now);
 }
 
 void PlatformCopy::checkStale(TimePoint now)
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -123,7 +123,7 @@
     bool storeReached(core::TimePoint now) const;
 
 private:
-    // Checks by the other syncs whether the store answers, after a watch of one was silent.
+    // Asks the store again by all syncs that wait, since it may have left their watches unanswered.
     void onWatchSilent(core::TimePoint now);
     // Watches anew by a sync whose watch may have gone silent with the other one's.
     static void checkWatch(StoreSync &sync, core::TimePoint now);
--- a/packages/daemon/forward/store_sync.cpp
+++ b/packages/daemon/forward/store_sync.cpp
@@ -129,6 +129,8 @@
         m_mirror.onPage(names, reply.more, reply.revision, now);
     }
     m_hooks.onSynced(watching, now);
+    if (wasFailing)
+        m_hooks.onWatchSilent(now);
     tick(now);
 }
 
@@ -150,9 +152,8 @@
 
 void StoreSync::checkNow(TimePoint now)
 {
-    const bool inProgress =
-        m_exchange != 0 && (!m_waiting || m_client.receivedBytes(m_exchange) > 0);
-    if (inProgress)
+    const bool waits = m_exchange != 0 && m_waiting && m_client.receivedBytes(m_exchange) == 0;
+    if (!waits)
         return;
     abortCall(now);
     m_mirror.onWatchAborted(now);
--- a/packages/daemon/forward/store_sync.h
+++ b/packages/daemon/forward/store_sync.h
@@ -27,7 +27,9 @@
         // Called after each successful response, when its objects have been delivered. `watched`:
         // the response is that of a watch, not of a list.
         std::function<void(bool watched, core::TimePoint now)> onSynced;
-        // Called when a watch got no response in time although the store answered before.
+        // Called when a watch got no response in time although the store answered before, and when
+        // the store answers again after failed calls: it may have left the watches of other kinds
+        // unanswered, too.
         std::function<void(core::TimePoint now)> onWatchSilent;
         // Returns how long the store may hold a watch without changes.
         std::function<core::Millis()> watchWait;
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -273,8 +273,11 @@
     's/\(peersReach \|\| onlyNewFail\)/true/' \
     unit_tests "a host that reaches no server while others do is cut off"
 mutant transfer-aborted packages/daemon/forward/store_sync.cpp \
-    's/if \(inProgress\)\n        return;//' \
+    's/if \(!waits\)\n        return;//' \
     unit_tests "a host that is late with a large configuration goes on with the transfer it began"
+mutant silent-with-servers packages/daemon/forward/platform_copy.cpp \
+    's/    onWatchSilent\(now\);\n\}\n\nvoid PlatformCopy::checkStale/    m_servers.checkNow(now);\n}\n\nvoid PlatformCopy::checkStale/' \
+    unit_tests "a change is in force although the store left the watches of all hosts unanswered"
 mutant transfers-repeated $policy/mirror/fetch_schedule.cpp \
     's/!m_inFlight.empty\(\) \|\| //' \
     unit_tests "one transfer is in flight, however often peers report a newer version"
--- a/tests/unit/platform_copy_test.cpp
+++ b/tests/unit/platform_copy_test.cpp
@@ -59,6 +59,7 @@
     // The store's configuration changes; otherwise version 1 has all routes, and keys.
     bool changes = true;
     int objectsSent = 0;
+    bool answersServerWatches = true;
     PlatformCopy copy{client,
                       backends,
                       link,
@@ -75,8 +76,12 @@
 
     unit::ThrottledServer::Reply reply(const std::string &line, int routes)
     {
-        if (line.find("/objects/config") == std::string::npos)
-            return {R"({"items": [], "events": [], "more": false, "store_revision": 5})", 100ms};
+        if (line.find("/objects/config") == std::string::npos) {
+            const bool waits = line.find("wait_ms=") != std::string::npos
+                && line.find("wait_ms=1 ") == std::string::npos;
+            return {R"({"items": [], "events": [], "more": false, "store_revision": 5})",
+                    waits && !answersServerWatches ? 60s : 100ms};
+        }
         const bool watch = line.find("watch=") != std::string::npos;
         const auto version = inForce == 0 || !changes ? 1 : 2;
         auto spec = configuration(version, changes && version == 1 ? 1 : routes);
@@ -101,6 +106,19 @@
                 waits ? 60s : 0s};
     }
 
+    // Lets peers report a newer server list than this host's.
+    void reportNewerServers(core::TimePoint now)
+    {
+        policy::membership::Member peer;
+        peer.name = "peer";
+        peer.peersAddress = "127.0.0.1:9";
+        ports::Gossip gossip;
+        copy.fillGossip(gossip, now);
+        ++gossip.fleetRevision;
+        ++gossip.serverDigest;
+        copy.onGossip(gossip, peer, now);
+    }
+
     // Runs until the version is in force, at most for `limit`; returns whether it is. Peers report
     // version 2 three times per second.
     bool runUntil(std::uint64_t version, core::Duration limit)
@@ -166,3 +184,25 @@
     // The responses say that nothing changed.
     CHECK(it.objectsSent <= 2);
 }
+
+TEST_CASE("a change is in force although the store left the watches of all hosts unanswered")
+{
+    // The watches that wait for changes are not answered. Peers have the version neither, but one
+    // of them has read a newer server list by a call of its own.
+    Host it(4000, 10);
+    it.answersServerWatches = false;
+    REQUIRE(it.runUntil(1, changeTime));
+    policy::membership::Member self;
+    self.name = "self";
+    const auto end = core::Clock::now() + changeTime;
+    while (it.inForce < 2 && core::Clock::now() < end) {
+        it.io.restart();
+        it.io.run_for(20ms);
+        const auto now = core::Clock::now();
+        it.client.tick(now);
+        it.copy.updateRole({self}, self, now);
+        it.copy.tick(now);
+        it.reportNewerServers(now);
+    }
+    CHECK(it.inForce == 2);
+}
