review: a planned stop drops requests that were read on a connection

Cause: at SIGTERM each answer becomes the last one of its connection, and HttpServer::onWritten() discards the bytes that were read behind the request in progress, whole requests included.

--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -150,6 +150,7 @@
         return false;
     std::string bytes(readBytes, '\0');
     const auto n = ::recv(m_fd, bytes.data(), bytes.size(), 0);
+    m_endOfStream = n == 0;
     if (n <= 0)
         return false;
     m_buffer.append(bytes, 0, static_cast<std::size_t>(n));
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -64,6 +64,9 @@
     void shutDown();
     // Returns whether the peer closed the connection, or sent bytes that were not asked for.
     bool ended() const;
+    // Returns whether the last read met the end of the stream and not a reset, which the other end
+    // causes if it closes with bytes that it has not read.
+    bool endedOrderly() const { return m_endOfStream; }
 
     // Bytes that a faulty server sends before its next response.
     std::string pendingBytes;
@@ -75,6 +78,7 @@
 
     int m_fd;
     std::string m_buffer;
+    bool m_endOfStream = false;
 };
 
 // Listens on an address and handles requests, each connection on a thread of its own.
