--- /dev/null
+++ b/tests/process/odd_names_test.cpp
@@ -0,0 +1,58 @@
+#include "routed_cluster.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+// Objects in the platform's store that other writers created, with names of their choice.
+
+using namespace harness;
+
+namespace {
+
+// Time after a restart of all hosts within which they must serve again.
+constexpr double recoverySeconds = 12;
+
+const std::vector<std::string> oddNames{
+    "copy of b1",       "a b",  "a&b=c", "a+b", "a%20b",    "a%b", "a/b",  "a?b", "a#b",
+    "a\r\nX-Header: b", "a\tb", "\"",    "\\",  "\xc3\xbc", "~",   "zz zz"};
+
+void restartAll(RoutedCluster &cluster)
+{
+    for (std::size_t n = 0; n < cluster.size(); ++n)
+        cluster.host(n).process->signal(SIGKILL);
+    for (std::size_t n = 0; n < cluster.size(); ++n)
+        cluster.host(n).process->wait();
+    for (std::size_t n = 0; n < cluster.size(); ++n)
+        cluster.start(n);
+}
+
+bool allServe(const RoutedCluster &cluster)
+{
+    return eventually(
+        [&] {
+            for (std::size_t n = 0; n < cluster.size(); ++n) {
+                const auto id = "r" + std::to_string(n);
+                if (!cluster.ready(n) || cluster.sendRequest(n, "/all/x", id).status != 200)
+                    return false;
+            }
+            return true;
+        },
+        recoverySeconds);
+}
+
+} // namespace
+
+// Guards against a list that stops at a name with characters that a request line cannot hold, so
+// that no host becomes ready.
+TEST_CASE("hosts serve after a restart beside objects with odd names", "[process][store]")
+{
+    RoutedCluster cluster(3);
+    for (const auto &it : oddNames) {
+        for (const char *kind : {"servers", "goldcrestline-hosts"})
+            cluster.createStored(kind, it, {{"text", "x"}});
+    }
+    // Each name is the last one of a page.
+    cluster.setPlatform({{"page_size", 1}});
+    restartAll(cluster);
+    CHECK(allServe(cluster));
+}
--- a/tests/standins/http_server.cpp
+++ b/tests/standins/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/url/src.hpp>
 
 namespace standins {
 
@@ -94,7 +95,9 @@
     if (at == std::string::npos)
         return {};
     const auto start = at + name.size() + 1;
-    return target.substr(start, target.find('&', start) - start);
+    const auto value = target.substr(start, target.find('&', start) - start);
+    const auto encoded = boost::urls::make_pct_string_view(value);
+    return encoded.has_value() ? encoded->decode() : value;
 }
 
 asio::awaitable<void> sleepFor(std::chrono::milliseconds time)
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -57,7 +57,8 @@
 // Returns the value of a header, or an empty string if it is absent.
 std::string headerOf(const Request &request, const std::string &name);
 
-// Returns the value of a query parameter of the request target, or an empty string if it is absent.
+// Returns the decoded value of a query parameter of the request target, or an empty string if it is
+// absent.
 std::string parameterOf(const Request &request, const std::string &name);
 
 // Suspends the calling coroutine for `time`.
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <rapidcheck/catch.h>
 
 using namespace goldcrestline;
 using nlohmann::json;
@@ -333,3 +334,35 @@
          {"", "[]", "{}", "{\"routes\":[]}", "{\"routes\":{}}", "{\"routes\":[7]}"})
         CHECK_FALSE(decoder.decode(it).has_value());
 }
+
+// Guards against a name that ends the request line or changes the parameters of a call.
+TEST_CASE("names of objects are encoded in the request lines of store calls")
+{
+    const auto lineOf = [](const ports::ExchangeRequest &request) {
+        return request.commonHead->substr(0, request.commonHead->find('\n') + 1);
+    };
+    CHECK(lineOf(platform::listRequest("servers", "copy of i-1"))
+          == "GET /objects/servers?after=copy%20of%20i-1 HTTP/1.1\r\n");
+    CHECK(lineOf(platform::listRequest("hosts", "a&b+c%d", true))
+          == "GET /objects/hosts?serializable=1&after=a%26b%2Bc%25d HTTP/1.1\r\n");
+    CHECK(lineOf(platform::getRequest("config", "a/b?c#d"))
+          == "GET /objects/config/a%2Fb%3Fc%23d HTTP/1.1\r\n");
+    CHECK(lineOf(platform::replaceRequest("hosts", "a\r\nX: b", json::object()))
+          == "PUT /objects/hosts/a%0D%0AX%3A%20b HTTP/1.1\r\n");
+    CHECK(lineOf(platform::listRequest("servers", "i-7f_3.a~9"))
+          == "GET /objects/servers?after=i-7f_3.a~9 HTTP/1.1\r\n");
+}
+
+TEST_CASE("a request line consists of three parts, whatever the name of the object")
+{
+    rc::prop("names of any bytes", [](const std::string &name) {
+        const auto head = *platform::listRequest("servers", "n" + name).commonHead;
+        const auto line = head.substr(0, head.find("\r\n"));
+        RC_ASSERT(line.starts_with("GET /objects/servers?after=n"));
+        RC_ASSERT(line.ends_with(" HTTP/1.1"));
+        RC_ASSERT(std::count(line.begin(), line.end(), ' ') == 2);
+        RC_ASSERT(std::count(line.begin(), line.end(), '&') == 0);
+        RC_ASSERT(
+            std::all_of(line.begin(), line.end(), [](char c) { return c >= ' ' && c < 0x7f; }));
+    });
+}
