Do not use a server whose id cannot be sent in a header

Cause: the name of the entry is the server's id, and is sent as the value of X-Expected-Instance as it is. An address with a NUL in it was accepted too, since inet_pton() reads up to there.

Why this fix works: an id that a server would not read unchanged from a header (control characters, blanks at its ends, no character, over 256 bytes) names no server to use. Ids with blanks inside, quotes or bytes above 127 are sent as before. No server can expect another id than one that a header can carry.

--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -63,6 +63,7 @@
         entryWith("address", "\"127.0.0.1:\""),
         entryWith("address", "\"127.0.0.1\""),
         entryWith("address", "\":80\""),
+        entryWith("address", "\"127.0.0.1\\u0000\\r\\nX-Header: a:80\""),
         entryWith("address", "\"host.example:80\""),
         entryWith("zone", "\"\xff\xfe\""),
         entryWith("zone", "\"\\ud800\""),
@@ -145,6 +146,28 @@
     }
 }
 
+// Guards against an entry whose name adds a header, or a request, to those sent to its address.
+TEST_CASE("a server whose id cannot be sent in a header is not used")
+{
+    const auto spec = decltype(platform::StoreObject::spec)::parse(entryWith("sequence", "5"));
+    for (const auto &id :
+         {std::string(), std::string(" i-1"), std::string("i-1 "),
+          std::string("i-1\r\nX-Header: a"), std::string("i-1\n"), std::string("i\t1"),
+          std::string("i-1\x7f"), std::string("i\0a", 3), std::string(300, 'i')}) {
+        CAPTURE(id);
+        List servers;
+        servers.apply({{id, 3, spec}});
+        CHECK(servers.list.toJson().empty());
+        CHECK(servers.backends.pick("s", {}, core::TimePoint{} + 1h) == nullptr);
+    }
+    for (const std::string id : {"i-1", "i 1", "i:1,\"2\"", "\xc3\xbc"}) {
+        CAPTURE(id);
+        List servers;
+        servers.apply({{id, 3, spec}});
+        CHECK(servers.list.toJson().size() == 1);
+    }
+}
+
 TEST_CASE("an object without a readable name is counted and hides no other one")
 {
     const auto good = objectOf("good", entryWith("sequence", "5"));
