Write control characters in log lines as \xNN

Operators could read lines in the log that no host wrote: names of objects, zones and services that another writer chooses are part of many lines, and a line break in them began a line of its own.

Cause: the text of a line was written as it is.

Why this fix works: the one place that all lines pass escapes control characters. Other bytes stay, so that names in other scripts are readable.

Evidence: "a log line stays one line, whatever the names in it" was red and is green. The test looks at the first line only, since the logger adds one of its own about lines that other tests had it drop.

--- a/packages/adapters/logging/log.cpp
+++ b/packages/adapters/logging/log.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/logging/line_rate_limiter.h"
 
+#include <algorithm>
 #include <easylogging++.h>
 #include <mutex>
 #include <poll.h>
@@ -64,6 +65,31 @@
     LineRateLimiter m_limiter{maxLinesPerSecond, maxBurstLines, reservedLines};
 };
 
+bool isControl(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < ' ' || byte == 0x7f;
+}
+
+// Returns the text with control characters as \xNN, so that a name chosen by another writer cannot
+// look like a further line.
+std::string singleLine(std::string_view text)
+{
+    std::string out;
+    for (const char c : text) {
+        if (isControl(c)) {
+            constexpr std::string_view digits = "0123456789abcdef";
+            const auto byte = static_cast<unsigned char>(c);
+            out += "\\x";
+            out += digits[byte / digits.size()];
+            out += digits[byte % digits.size()];
+        } else {
+            out += c;
+        }
+    }
+    return out;
+}
+
 Output &output()
 {
     static Output it;
@@ -110,6 +136,11 @@
 {
     if (level < minimumLevel)
         return;
+    std::string escaped;
+    if (std::any_of(text.begin(), text.end(), isControl)) {
+        escaped = singleLine(text);
+        text = escaped;
+    }
     switch (level) {
     case Level::Debug:
         LOG(DEBUG) << m_prefix << ' ' << text;
--- a/packages/adapters/logging/log.h
+++ b/packages/adapters/logging/log.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 // Logging through easylogging++: one short line per event, with a fixed prefix for each component.
+// Control characters are written as \xNN.
 // Lines are written to standard output and never block. Lines above the rate limit, and lines that
 // do not fit into the pipe because its reader is slow, are dropped and counted; the next written
 // line reports their number.
--- a/tests/unit/logging_test.cpp
+++ b/tests/unit/logging_test.cpp
@@ -72,3 +72,25 @@
     CHECK(ended);
     CHECK(dropped > 400);
 }
+
+// Guards against names chosen by others that look like lines of the log.
+TEST_CASE("a log line stays one line, whatever the names in it")
+{
+    std::array<int, 2> pipe{};
+    REQUIRE(::pipe(pipe.data()) == 0);
+    const int savedStdout = ::dup(STDOUT_FILENO);
+    REQUIRE(::dup2(pipe[1], STDOUT_FILENO) == STDOUT_FILENO);
+    configure(Level::Info);
+    constexpr LogChannel log("test:");
+    log.warning("id=a\nb\r\x1b[0m\x7f\tc \xc3\xbc\\n" + std::string("\0d", 2));
+    REQUIRE(::dup2(savedStdout, STDOUT_FILENO) == STDOUT_FILENO);
+    ::close(savedStdout);
+    ::close(pipe[1]);
+    std::string text(4096, '\0');
+    text.resize(static_cast<std::size_t>(::read(pipe[0], text.data(), text.size())));
+    ::close(pipe[0]);
+    CAPTURE(text);
+    // A line about the lines dropped in other tests may follow.
+    CHECK(text.substr(0, text.find('\n'))
+              .ends_with("test: id=a\\x0ab\\x0d\\x1b[0m\\x7f\\x09c \xc3\xbc\\n\\x00d"));
+}
