Leave a part out whose stamp is not a single element of a list

A caller of a fanned-out route got a list of stamps with an element that is no proof of its request, which spoils the whole answer (MIXED), if a server's stamp contained a comma.

Cause: the stamps of the parts are joined by commas as the servers sent them.

Why this fix works: such a response is not used as a part; the attempt counts as failed, and the shard may be tried at another server. Responses that are passed on alone keep their header as it is.

Evidence: "a part whose stamp is not a single element of a list is left out" (process) was red: the part was in, with `i-other` as a stamp of its own.

--- a/packages/daemon/forward/forward_service.cpp
+++ b/packages/daemon/forward/forward_service.cpp
@@ -302,7 +302,9 @@
     CallActions actions;
     if (result.outcome != ports::ExchangeOutcome::Answered)
         return onBroken(id, attempt, result, now);
-    const auto reply = platform::readServerReply(result);
+    auto reply = platform::readServerReply(result);
+    if (running != nullptr && running->call.route().fansOut() && reply.kind == ReplyKind::Success)
+        reply.usable = reply.usable && platform::isListable(reply.stamp);
     if (reply.load) {
         m_backends.onLoadReport(backend, reply.load->running, reply.load->waiting,
                                 reply.load->slots, now, reply.load->speedPercent);
--- a/tests/process/routes_test.cpp
+++ b/tests/process/routes_test.cpp
@@ -123,6 +123,19 @@
     CHECK(result.status == 504);
 }
 
+// Guards against a server's header that adds an element to the list of stamps.
+TEST_CASE("a part whose stamp is not a single element of a list is left out", "[process][routes]")
+{
+    RoutedCluster cluster(1);
+    cluster.setBackends({{"service", "shard1"}, {"mode", "two-stamps"}});
+    const auto result = cluster.sendRequest(0, "/all/x", "r1");
+    CHECK(result.status == 200);
+    CHECK(headerOf(result, "x-missing-parts") == "1");
+    CHECK(headerOf(result, "x-part-stamps").find("i-other") == std::string::npos);
+    cluster.setBackends({{"service", "single"}, {"mode", "two-stamps"}});
+    CHECK(cluster.sendRequest(0, "/one/x", "r2").status == 200);
+}
+
 TEST_CASE(
     "an accepted configuration is in force on every host and stays in force without the store",
     "[process][routes]")
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -204,7 +204,8 @@
                             part ? makeRecords(backend->service)
                                  : target + " " + request.body() + " by " + backend->service);
     response.set("X-Request-Id", id);
-    response.set("X-Server-Stamp", backend->id + "." + id);
+    const std::string prefix = backend->mode == "two-stamps" ? "i-other, " : "";
+    response.set("X-Server-Stamp", prefix + backend->id + "." + id);
     response.set("X-Server-Load", "1,0,4");
     co_return response;
 }
