Escape the names of services in the labels of metrics

Monitoring read broken lines, or values under another name, if the name of a service in the plans' interface contained a quote or a line break.

Cause: three places wrote labels, two with a copy of the same escaping and one without.

Why this fix works: `core::escapeLabel` is the one copy, used by all three.

"a response head with control characters is no response" is new and was green at once: it shows why headers of servers are safe.

--- a/packages/daemon/control/routes.cpp
+++ b/packages/daemon/control/routes.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/routes.h"
 
+#include "core/metric_label.h"
 #include "daemon/engine/responses.h"
 #include "policy/entrypoints/entry_points.h"
 
@@ -190,8 +191,8 @@
     for (const auto &service : services.items()) {
         for (const auto &it : service.value().items()) {
             if (it.value().is_number()) {
-                text << "goldcrestline_service_" << it.key() << "{service=\"" << service.key()
-                     << "\"} " << it.value().dump() << '\n';
+                text << "goldcrestline_service_" << it.key() << "{service=\""
+                     << core::escapeLabel(service.key()) << "\"} " << it.value().dump() << '\n';
             }
         }
     }
--- a/packages/daemon/forward/workspace_counters.cpp
+++ b/packages/daemon/forward/workspace_counters.cpp
@@ -1,5 +1,7 @@
 #include "daemon/forward/workspace_counters.h"
 
+#include "core/metric_label.h"
+
 #include <algorithm>
 #include <cmath>
 #include <string_view>
@@ -31,18 +33,6 @@
     {"workspace_refused_total", "no_capacity"},
 }};
 
-// Returns a label's value with the characters escaped that would end it.
-std::string escape(const std::string &value)
-{
-    std::string out;
-    for (const char c : value) {
-        if (c == '"' || c == '\\')
-            out += '\\';
-        out += c == '\n' ? ' ' : c;
-    }
-    return out;
-}
-
 void addTo(WorkspaceCounts &sum, const WorkspaceCounts &counts)
 {
     for (std::size_t i = 0; i < counts.size(); ++i)
@@ -112,8 +102,8 @@
     for (const auto &[name, counts] : busiest(maxNamed, now)) {
         for (std::size_t i = 0; i < counts.size(); ++i) {
             const auto &event = eventNames[i];
-            out += "goldcrestline_" + std::string(event.counter) + "{workspace=\"" + escape(name)
-                + "\"";
+            out += "goldcrestline_" + std::string(event.counter) + "{workspace=\""
+                + core::escapeLabel(name) + "\"";
             if (!event.cause.empty())
                 out += ",cause=\"" + std::string(event.cause) + "\"";
             out += "} " + std::to_string(counts[i]) + "\n";
--- a/packages/daemon/forward/workspace_quota.cpp
+++ b/packages/daemon/forward/workspace_quota.cpp
@@ -1,6 +1,7 @@
 #include "daemon/forward/workspace_quota.h"
 
 #include "adapters/logging/log.h"
+#include "core/metric_label.h"
 #include "policy/forward/retry_delay.h"
 
 #include <algorithm>
@@ -61,18 +62,6 @@
     return std::chrono::duration<double>(d).count();
 }
 
-// Escapes a name for the label of a metric.
-std::string escaped(const std::string &name)
-{
-    std::string out;
-    for (const char c : name) {
-        if (c == '"' || c == '\\')
-            out += '\\';
-        out += c;
-    }
-    return out;
-}
-
 } // namespace
 
 WorkspaceQuota::Parameters
@@ -514,7 +503,7 @@
     };
     for (std::size_t i = 0; i < all.size(); ++i) {
         if (i < shown) {
-            append("{workspace=\"" + escaped(*all[i].first) + "\"}", *all[i].second);
+            append("{workspace=\"" + core::escapeLabel(*all[i].first) + "\"}", *all[i].second);
             continue;
         }
         others.admitted += all[i].second->admitted;
--- a/tests/unit/exchange_client_test.cpp
+++ b/tests/unit/exchange_client_test.cpp
@@ -221,6 +221,23 @@
     }
 }
 
+// Guards against bytes of a server's header that would begin another header for the caller.
+TEST_CASE("a response head with control characters is no response")
+{
+    ClientFixture it;
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = "\r\nContent-Length: 0\r\n\r\n";
+    const std::vector<std::string> fields{
+        "X-A: b\rX-C: d", "X-A: b\nX-C: d", std::string("X-A: b\0c", 8),
+        "X-A: b\x7f",     "X-A\x01: b",     "X A: b"};
+    for (const auto &field : fields)
+        it.server.replies.push_back({statusLine + field + rest, true});
+    for (const auto &field : fields) {
+        CAPTURE(field);
+        CHECK(it.get().outcome == ExchangeOutcome::Broken);
+    }
+}
+
 TEST_CASE("a response body without a length is complete only after a clean close")
 {
     ClientFixture it;
