Keep names with a NUL whole in messages between hosts

Hosts that follow others left a zone without traffic that nobody had evacuated, if another writer named an evacuation "ZONE", a NUL and anything behind it: the messages between hosts carried "ZONE" alone.

Cause: a text was handed to Cap'n Proto by a conversion that ends at the first NUL.

Why this fix works: texts are handed over with their length.

Evidence: "names of any bytes are unchanged in messages between hosts" was red for the name with a NUL, in notices of leaving servers, notes of crashes and evacuated zones; it is green. That a follower then spares the zone is read from the code, not played.

--- a/packages/adapters/peers/codec.cpp
+++ b/packages/adapters/peers/codec.cpp
@@ -23,6 +23,12 @@
     return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
 }
 
+// Keeps characters behind a NUL, which a conversion by kj::StringPtr would drop.
+capnp::Text::Reader asText(const std::string &text)
+{
+    return {text.data(), text.size()};
+}
+
 std::string asString(capnp::Data::Reader data)
 {
     return {reinterpret_cast<const char *>(data.begin()), data.size()};
@@ -35,23 +41,23 @@
 
 void writeMember(const Member &from, wire::Member::Builder to)
 {
-    to.setName(from.name);
-    to.setZone(from.zone);
-    to.setRegion(from.region);
-    to.setCallersAddress(from.callersAddress);
-    to.setControlAddress(from.controlAddress);
-    to.setPeersAddress(from.peersAddress);
+    to.setName(asText(from.name));
+    to.setZone(asText(from.zone));
+    to.setRegion(asText(from.region));
+    to.setCallersAddress(asText(from.callersAddress));
+    to.setControlAddress(asText(from.controlAddress));
+    to.setPeersAddress(asText(from.peersAddress));
     to.setIncarnation(from.incarnation);
     to.setRefutation(from.refutation);
     to.setState(static_cast<std::uint8_t>(from.state));
     to.setLeaving(from.leaving);
-    to.setSuccessor(from.successor);
+    to.setSuccessor(asText(from.successor));
     to.setLoad(from.load);
     to.setCapacity(from.capacity);
     to.setStrained(from.strained);
     to.setCutOff(from.cutOff);
     to.setUnproven(from.unproven);
-    to.setRelayAddress(from.relayAddress);
+    to.setRelayAddress(asText(from.relayAddress));
 }
 
 Member readMember(wire::Member::Reader from)
@@ -87,8 +93,8 @@
 
 void writeCrash(const policy::quarantine::CrashNote &from, wire::CrashNote::Builder to)
 {
-    to.setRequest(from.request);
-    to.setServerId(from.server.id);
+    to.setRequest(asText(from.request));
+    to.setServerId(asText(from.server.id));
     to.setStartedAt(from.server.startedAt);
     to.setRepeated(from.repeated);
     to.setRefuted(from.refuted);
@@ -108,7 +114,7 @@
 
 void writeGossip(const ports::Gossip &from, wire::Gossip::Builder to)
 {
-    to.setFrom(from.from);
+    to.setFrom(asText(from.from));
     to.setComparison(from.comparison);
     writeHashes(from.summary, to.initSummary(static_cast<unsigned>(from.summary.size())));
     writeHashes(from.wanted, to.initWanted(static_cast<unsigned>(from.wanted.size())));
@@ -125,7 +131,7 @@
         writeMember(from.members[i], members[i]);
     auto notes = to.initLeavingServers(static_cast<unsigned>(from.leavingServers.size()));
     for (unsigned i = 0; i < notes.size(); ++i) {
-        notes[i].setServerId(from.leavingServers[i].serverId);
+        notes[i].setServerId(asText(from.leavingServers[i].serverId));
         notes[i].setStartedAt(from.leavingServers[i].startedAt);
     }
     to.setCrashDigest(from.crashDigest);
@@ -177,7 +183,7 @@
 void writeOutcome(const policy::idempotency::Outcome &from, wire::Outcome::Builder to)
 {
     to.setCode(static_cast<int>(from.code));
-    to.setDetail(from.detail);
+    to.setDetail(asText(from.detail));
     to.setBody(asData(from.body));
 }
 
@@ -196,8 +202,8 @@
 
 void writeEntry(const policy::idempotency::Entry &from, wire::LedgerEntry::Builder to)
 {
-    to.setKey(from.key);
-    to.setBodyDigest(from.bodyDigest);
+    to.setKey(asText(from.key));
+    to.setBodyDigest(asText(from.bodyDigest));
     to.setExpiresAt(from.expiresAt);
     writeOutcome(from.outcome, to.initOutcome());
 }
@@ -217,8 +223,8 @@
 void writeContent(const ports::ProbeRequest &from, wire::Message::Builder to)
 {
     auto probe = to.initProbe();
-    probe.setName(from.name);
-    probe.setAddress(from.address);
+    probe.setName(asText(from.name));
+    probe.setAddress(asText(from.address));
 }
 
 void writeContent(const ports::FetchRequest &from, wire::Message::Builder to)
@@ -229,9 +235,9 @@
 void writeContent(const ports::RunRequest &from, wire::Message::Builder to)
 {
     auto run = to.initRun();
-    run.setCustomer(from.customer);
-    run.setService(from.service);
-    run.setKey(from.key);
+    run.setCustomer(asText(from.customer));
+    run.setService(asText(from.service));
+    run.setKey(asText(from.key));
     run.setBody(asData(from.body));
     run.setTimeLeftMs(from.timeLeft.count());
 }
@@ -239,16 +245,16 @@
 void writeContent(const ports::BorrowRequest &from, wire::Message::Builder to)
 {
     auto borrow = to.initBorrow();
-    borrow.setPlan(from.plan);
+    borrow.setPlan(asText(from.plan));
     borrow.setWanted(from.wanted);
 }
 
 void writeContent(const ports::AdoptRequest &from, wire::Message::Builder to)
 {
     auto adopt = to.initAdopt();
-    adopt.setHost(from.host);
+    adopt.setHost(asText(from.host));
     adopt.setIncarnation(from.incarnation);
-    adopt.setSecret(from.secret);
+    adopt.setSecret(asText(from.secret));
     adopt.setLatest(from.latest);
     auto entries = adopt.initEntries(static_cast<unsigned>(from.entries.size()));
     for (unsigned i = 0; i < entries.size(); ++i)
@@ -265,7 +271,7 @@
 void writeContent(const ports::QuotaRequest &from, wire::Message::Builder to)
 {
     auto borrow = to.initBorrowQuota();
-    borrow.setWorkspace(from.workspace);
+    borrow.setWorkspace(asText(from.workspace));
     borrow.setWanted(from.wanted);
     borrow.setReturned(from.returned);
     borrow.setPassedOn(from.passedOn);
@@ -311,7 +317,7 @@
     const auto &zones = from.evacuatedZones;
     auto evacuated = followed.initEvacuatedZones(static_cast<unsigned>(zones.size()));
     for (unsigned i = 0; i < evacuated.size(); ++i)
-        evacuated.set(i, zones[i]);
+        evacuated.set(i, asText(zones[i]));
 }
 
 ports::CopyResponse readCopyResponse(wire::Message::Followed::Reader from)
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -79,6 +79,29 @@
     CHECK(followed.confirmationAge == core::Millis(70));
 }
 
+// Guards against names chosen by other writers that are cut or changed on their way.
+TEST_CASE("names of any bytes are unchanged in messages between hosts")
+{
+    for (const auto &name : {std::string("a b\r\n\"\\"), std::string("a\0b", 3),
+                             std::string("\xff\xc3"), std::string(300, 'n')}) {
+        ports::Gossip gossip;
+        gossip.leavingServers = {{name, 5}};
+        gossip.crashes = {{"digest", {name, 5}, false, false, core::Millis(70), 1}};
+        const auto decoded = decode(encode(1, ports::PeerRequest(gossip)));
+        REQUIRE(decoded);
+        const auto &copy = std::get<ports::Gossip>(std::get<ports::PeerRequest>(decoded->content));
+        CHECK(copy.leavingServers.at(0).serverId == name);
+        CHECK(copy.crashes.at(0).server.id == name);
+        ports::CopyResponse response;
+        response.evacuatedZones = {name};
+        const auto answer = decode(encode(2, ports::PeerResponse(response)));
+        REQUIRE(answer);
+        CHECK(std::get<ports::CopyResponse>(std::get<ports::PeerResponse>(answer->content))
+                  .evacuatedZones
+              == response.evacuatedZones);
+    }
+}
+
 TEST_CASE("malformed messages between hosts are rejected without large allocations")
 {
     // A packed run of zeros that claims to unpack to 256 words for each two bytes.
