Add review case 7: large odd entries stop the watch of the servers

Cause: the answer to a watch that is longer than 8 MB is given up and asked for again, until the store has dropped that history. Meanwhile no host hears of the servers.

Change: a script in which another writer adds 32 odd entries of 1 MB, and a server then reports that it is draining.

--- a/review/support-2/server.h
+++ b/review/support-2/server.h
@@ -56,6 +56,13 @@
     Server &operator=(const Server &) = delete;
 
     const std::string &id() const { return m_id; }
+    // The server reports that it is draining, and serves on. Returns once the store has confirmed.
+    void drain()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_state = "draining";
+        publish();
+    }
     // The heartbeats stop, or go on; the store removes the entry of a silent server.
     void setSilent(bool silent) { m_silent = silent; }
     bool listed() const
@@ -74,7 +81,7 @@
         const json spec{
             {"service", m_service}, {"address", "127.0.0.1:" + std::to_string(portOf(m_listener))},
             {"zone", m_zone},       {"version", "v1"},
-            {"capacity", 4},        {"state", "ready"},
+            {"capacity", 4},        {"state", m_state},
             {"warmup_left_ms", 0},  {"sequence", ++m_sequence},
             {"born", m_born}};
         const json object{{"meta", {{"name", m_id}}}, {"spec", spec}};
@@ -96,6 +103,7 @@
                     removed = true;
                 }
             } else if (now - last >= heartbeat || removed) {
+                const std::lock_guard guard(m_mutex);
                 publish();
                 last = now;
                 removed = false;
@@ -193,6 +201,8 @@
     int m_listener;
     std::int64_t m_born;
     std::int64_t m_sequence = 0;
+    std::string m_state = "ready";
+    std::mutex m_mutex;
     std::atomic<bool> m_stop{false};
     std::atomic<bool> m_silent{false};
     std::vector<std::thread> m_threads;
