Keep the store's pages within their bound in review case 7

Cause: the stand-in lists up to 50 entries a page, far above the 1 MB of the protocol page, and the form without the trouble took less time.

Change: one entry a page, and the same time without the trouble.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -85,6 +85,8 @@
             }));
     }
     std::this_thread::sleep_for(8s);
+    // No page of a list is longer than one entry, as the store's are 1 MB at most.
+    deployment.setStore({{"page_size", 1}});
     Callers callers(deployment, record);
     std::this_thread::sleep_for(2s);
     if (trouble) {
@@ -114,6 +116,8 @@
             throw CannotRun("the store refused an odd entry");
         record.note("another writer has written " + std::to_string(oddEntries)
                     + " entries that name no server");
+    } else {
+        std::this_thread::sleep_for(2s);
     }
     std::this_thread::sleep_for(1s);
     servers.front()->drain();
