Leave out the parts of a configuration that cannot be used

Cause: any invalid field refused the whole version, and a read of a refused version renewed the proof of the one before it (ConfigurationProof::onRejected).

Change: each part that cannot be used is left out alone, with error 5031, a log line and configuration_parts_left_out. Requests of a malformed workspace or route are refused as not run (503, 2052 and 2053): without its limits they could run where or as often as they may not. A version of which nothing can be read proves nothing, so that requests with keys end after revoke_ms (configuration_rejected). Names and keys may hold what a header carries. Hosts that learn a version from others follow the same rules.

--- a/packages/core/result_code.cpp
+++ b/packages/core/result_code.cpp
@@ -56,6 +56,10 @@
          "The backend server rejected the request unrun."},
         {UnknownKey, "unknown-key", refused, 401, "The request has no valid API key."},
         {QuotaExceeded, "quota-exceeded", refused, 429, "The workspace's rate is used up."},
+        {WorkspaceUnusable, "workspace-unusable", refused, 503,
+         "The entry of the key's workspace in the configuration is malformed."},
+        {RouteUnusable, "route-unusable", refused, 503,
+         "The route's entry in the configuration is malformed."},
         {OutcomeUnknown, "outcome-unknown", unknown, 502, "The request may have run."},
         {IssuerGone, "issuer-gone", unknown, 502, "The host that issued the key is gone."},
         {KeyExpired, "key-expired", unknown, 410, "The key expired; what it ran is forgotten."},
@@ -95,6 +99,8 @@
         {HostUnreachable, "host-unreachable", refused, 503, "The host does not answer."},
         {PlatformObject, "platform-object", refused, 400,
          "An object of the platform is malformed."},
+        {ConfigurationPart, "configuration-part", refused, 400,
+         "A part of the configuration is malformed and left out."},
     };
     return table;
 }
--- a/packages/core/result_code.h
+++ b/packages/core/result_code.h
@@ -39,6 +39,8 @@
     ServerRejected = 2040,
     UnknownKey = 2050,
     QuotaExceeded = 2051,
+    WorkspaceUnusable = 2052,
+    RouteUnusable = 2053,
 
     OutcomeUnknown = 3000,
     IssuerGone = 3001,
@@ -67,6 +69,7 @@
     PlatformUnreachable = 5020,
     HostUnreachable = 5021,
     PlatformObject = 5030,
+    ConfigurationPart = 5031,
 };
 
 // Properties of one result code.
--- a/packages/daemon/forward/configuration_prover.cpp
+++ b/packages/daemon/forward/configuration_prover.cpp
@@ -55,7 +55,7 @@
     ++m_reads;
     m_schedule.onStarted(bootNow);
     if (const auto &stored = m_copy.stored())
-        adoptBase({stored->revision, stored->id, {}});
+        adoptBase({stored->revision, stored->id});
     if (m_base && m_base->revision.era != m_copy.storeEra().newest())
         m_base.reset();
     const auto base = std::exchange(m_listNext, false) ? std::nullopt : m_base;
@@ -111,11 +111,8 @@
     }
     adoptBase(*held);
     m_proof.setInForce(m_copy.configuration());
-    if (held->id) {
+    if (held->id)
         m_proof.onProof(*held->id, startedAt);
-    } else {
-        m_proof.onRejected(held->object, startedAt, bootNow);
-    }
     noteState(bootNow);
 }
 
@@ -144,7 +141,7 @@
     }
     if (object != nullptr) {
         const auto id = m_copy.onConfigRead(*object, "read");
-        return Base{{era, reply.revision}, id, {era, object->revision}};
+        return Base{{era, reply.revision}, id};
     }
     // Revisions of an earlier era tell nothing of this one.
     if (changed || !base || base->revision.era != era)
@@ -183,7 +180,7 @@
     const ConfigurationId id{reply.proofVersion, reply.proofDigest};
     m_proof.onProof(id, requestedAt - *reply.proofAge);
     if (reply.proofRevision != 0)
-        adoptBase({{reply.storeEra, reply.proofRevision}, id, {}});
+        adoptBase({{reply.storeEra, reply.proofRevision}, id});
 }
 
 void ConfigurationProver::noteState(BootTimePoint bootNow)
--- a/packages/daemon/forward/configuration_prover.h
+++ b/packages/daemon/forward/configuration_prover.h
@@ -74,10 +74,8 @@
     struct Base
     {
         policy::access::ObjectRevision revision;
-        // Nothing if hosts reject what the store holds.
+        // Nothing if nothing of what the store holds can be used.
         std::optional<policy::access::ConfigurationId> id;
-        // Revision of the object itself.
-        policy::access::ObjectRevision object;
     };
 
     void read(core::TimePoint now, core::BootTimePoint bootNow);
--- a/packages/daemon/forward/forward_host.cpp
+++ b/packages/daemon/forward/forward_host.cpp
@@ -434,7 +434,7 @@
             return false;
         const auto metadata = platform::readRequestMetadata(call.request);
         const auto *route = routes->find(metadata.host, metadata.path);
-        return route != nullptr && m_relay.relay(call, *route, now);
+        return route != nullptr && route->usable && m_relay.relay(call, *route, now);
     }
 
     adapters::loop::HttpServerHooks callerHooks()
@@ -491,6 +491,8 @@
     {
         HostGauges gauges;
         gauges.version = m_copy.version();
+        gauges.configurationPartsLeftOut = m_copy.partsLeftOut();
+        gauges.configurationRejected = m_copy.rejected();
         gauges.configurationWatchAgeMs =
             static_cast<std::uint64_t>(core::wholeMillis(m_copy.configSyncAge(core::Clock::now())));
         gauges.documentFetches = m_copy.fetches();
--- a/packages/daemon/forward/metrics.cpp
+++ b/packages/daemon/forward/metrics.cpp
@@ -17,6 +17,8 @@
 {
     std::string out;
     appendLine(out, "configuration_version", gauges.version);
+    appendLine(out, "configuration_parts_left_out", gauges.configurationPartsLeftOut);
+    appendLine(out, "configuration_rejected", gauges.configurationRejected ? 1 : 0);
     appendLine(out, "configuration_watch_age_ms", gauges.configurationWatchAgeMs);
     appendLine(out, "document_fetches_total", gauges.documentFetches);
     appendLine(out, "document_fetches_failed_total", gauges.failedDocumentFetches);
@@ -38,7 +40,9 @@
     appendLine(out, "requests_answered_total", counters.answered);
     appendLine(out, "requests_thin_total", counters.partial);
     appendLine(out, "requests_refused_total",
-               counters.refused + admission.noConfiguration + admission.unproven);
+               counters.refused + admission.noConfiguration + admission.unproven
+                   + admission.unusable);
+    appendLine(out, "requests_unusable_total", admission.unusable);
     appendLine(out, "requests_no_route_total", admission.noRoute);
     appendLine(out, "requests_unknown_key_total", admission.unknownKey);
     appendLine(out, "requests_unproven_total", admission.unproven);
--- a/packages/daemon/forward/metrics.h
+++ b/packages/daemon/forward/metrics.h
@@ -15,6 +15,10 @@
 {
     // Version of the platform configuration in force.
     std::uint64_t version = 0;
+    // Parts of it that are malformed and left out.
+    std::size_t configurationPartsLeftOut = 0;
+    // The store's configuration is newer, and nothing of it can be used.
+    bool configurationRejected = false;
     // Age of the store's last response to this host's own call for the configuration.
     std::uint64_t configurationWatchAgeMs = 0;
     // Documents requested from other hosts, and how many of these requests failed.
--- a/packages/daemon/forward/platform_copy.cpp
+++ b/packages/daemon/forward/platform_copy.cpp
@@ -3,7 +3,6 @@
 #include "adapters/logging/log.h"
 #include "core/hash.h"
 #include "platform/names.h"
-#include "platform/records.h"
 
 #include <algorithm>
 
@@ -42,6 +41,21 @@
 constexpr double maxBackoffScale = 3;
 // Age reported without any confirmation.
 constexpr core::Millis unconfirmedAge{3600000};
+// Parts of a configuration that are left out and logged one by one.
+constexpr std::size_t maxLoggedParts = 20;
+
+void logLeftOut(const policy::forward::RouteTable &table)
+{
+    const auto &errors = table.leftOut();
+    for (std::size_t i = 0; i < std::min(errors.size(), maxLoggedParts); ++i) {
+        log.error("left out of configuration version=" + std::to_string(table.version()) + ": "
+                  + errors[i].text());
+    }
+    if (errors.size() > maxLoggedParts) {
+        log.error("left out of configuration version=" + std::to_string(table.version())
+                  + " further=" + std::to_string(errors.size() - maxLoggedParts));
+    }
+}
 
 } // namespace
 
@@ -182,6 +196,7 @@
                                   const std::string &from, TimePoint startedAt)
 {
     m_table = std::move(table);
+    m_rejected = false;
     const auto bytes = text.size();
     const auto digest = core::stableHash(text);
     m_exchange.setInForce({m_table->version(), digest}, std::move(text));
@@ -190,6 +205,7 @@
              + " from=" + from + " routes=" + std::to_string(m_table->routes().size())
              + " bytes=" + std::to_string(bytes)
              + " ms=" + std::to_string(core::wholeMillis(core::Clock::now() - startedAt)));
+    logLeftOut(*m_table);
 }
 
 void PlatformCopy::onConfigSynced(TimePoint now)
@@ -223,8 +239,12 @@
 PlatformCopy::readConfig(const platform::StoreObject &object, const std::string &from)
 {
     const auto stated = platform::configVersion(object.spec);
-    if (!stated)
+    m_rejected = !stated;
+    if (m_rejected) {
+        log.error("configuration refused from=" + from
+                  + ": no version can be read; the one in force is not proven any more");
         return std::nullopt;
+    }
     if (*stated < version())
         return policy::access::ConfigurationId{*stated, 0};
     if (*stated > version()) {
@@ -232,9 +252,7 @@
             return std::nullopt;
         return configuration();
     }
-    // The content may differ from the one in force and be malformed.
-    if (!platform::decodeConfig(object.spec).has_value())
-        return std::nullopt;
+    // The content may differ from the one in force.
     return policy::access::ConfigurationId{*stated,
                                            core::stableHash(platform::configText(object.spec))};
 }
--- a/packages/daemon/forward/platform_copy.h
+++ b/packages/daemon/forward/platform_copy.h
@@ -7,6 +7,7 @@
 #include "daemon/forward/evacuation_sync.h"
 #include "daemon/forward/server_list.h"
 #include "daemon/forward/store_sync.h"
+#include "platform/configuration.h"
 #include "policy/access/configuration_proof.h"
 #include "policy/forward/backend_table.h"
 #include "policy/forward/route.h"
@@ -88,6 +89,10 @@
     {
         return (m_loadedFromStore || m_loadedFromPeer) && m_evacuations.known();
     }
+    // Returns the number of parts of the configuration in force that are malformed and left out.
+    std::size_t partsLeftOut() const { return m_table ? m_table->leftOut().size() : 0; }
+    // Returns whether nothing of the configuration that was read last can be used.
+    bool rejected() const { return m_rejected; }
     // Returns the version of the configuration in force; 0 without one.
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
     // Returns the configuration in force; version 0 without one.
@@ -98,8 +103,8 @@
     // Returns whether the configuration in force has workspaces.
     bool hasWorkspaces() const { return m_table && m_table->workspaces(); }
     // Applies the configuration of an object that was read, if it is newer than the one in force.
-    // Returns the id of that configuration, or nothing if it is rejected. `from`: the kind of read,
-    // for the log.
+    // Returns the id of that configuration, or nothing if none of it can be used. `from`: the kind
+    // of read, for the log.
     std::optional<policy::access::ConfigurationId> onConfigRead(const platform::StoreObject &object,
                                                                 const std::string &from);
     // Returns the time since the store last responded to this host's own call for the
@@ -146,7 +151,7 @@
     core::Millis confirmationAge(core::TimePoint now) const;
     std::optional<policy::access::ConfigurationId> readConfig(const platform::StoreObject &object,
                                                               const std::string &from);
-    // Bring a configuration into force if it is newer. Return whether it could be decoded.
+    // Bring a configuration into force if it is newer. Return whether any of it can be used.
     bool applyConfig(const nlohmann::json &spec, const std::string &from);
     bool applyPeerConfig(std::string text);
     // `text`: the configuration as other hosts get it.
@@ -191,6 +196,7 @@
     // it is rejected.
     policy::access::ObjectRevision m_lastRead;
     std::optional<policy::access::ConfigurationId> m_lastReadId;
+    bool m_rejected = false;
     // The configuration that the last response to this host's own calls left in the store.
     std::optional<policy::access::ConfigurationId> m_synced;
     // Availability zone of this host.
--- a/packages/daemon/forward/request_admission.cpp
+++ b/packages/daemon/forward/request_admission.cpp
@@ -44,6 +44,8 @@
                  + " path=" + metadata.path + " version=" + std::to_string(m_table->version()));
         return request.call.respond(errorResponseFor(ResultCode::NoRoute));
     }
+    if (!request.route->usable)
+        return refuseUnusable(request, ResultCode::RouteUnusable);
     request.priority = request.route->priority;
     if (!m_table->workspaces())
         return m_hooks.forward(std::move(request), now);
@@ -76,15 +78,17 @@
 {
     auto &httpRequest = request.call.request;
     const auto key = platform::readKey(httpRequest);
+    const auto &keys = *request.table->workspaces();
     const Workspace *workspace = nullptr;
     if (!key.empty() && key.size() <= policy::access::maxKeyBytes) {
         request.keyDigest = policy::access::digestOf(key);
-        workspace = request.table->workspaces()->findByDigest(request.keyDigest);
+        workspace = keys.findByDigest(request.keyDigest);
     }
+    const bool unusable = keys.isUnusable(request.keyDigest);
     const auto name = workspace != nullptr ? workspace->name : std::string();
     platform::setWorkspace(httpRequest, name);
     m_workspaces.add(name, WorkspaceEvent::Request, now);
-    if (workspace == nullptr && request.route->anonymous)
+    if (workspace == nullptr && request.route->anonymous && !unusable)
         return nullptr;
     allowed = false;
     // An outdated configuration may also lack a key that was added.
@@ -92,6 +96,10 @@
         refuseUnproven(request, name, now);
         return nullptr;
     }
+    if (unusable) {
+        refuseUnusable(request, ResultCode::WorkspaceUnusable);
+        return nullptr;
+    }
     if (workspace == nullptr) {
         ++m_counters.unknownKey;
         m_workspaces.add(name, WorkspaceEvent::UnknownKey, now);
@@ -104,6 +112,16 @@
     return workspace;
 }
 
+void RequestAdmission::refuseUnusable(const AdmittedRequest &request, ResultCode code)
+{
+    ++m_counters.unusable;
+    log.info("refused id=" + request.metadata.requestId + " host=" + request.metadata.host
+             + " path=" + request.metadata.path + " why=" + std::string(core::infoOf(code).name)
+             + " version=" + std::to_string(request.table->version()));
+    request.call.respond(errorResponseFor(
+        code, {}, policy::forward::retryDelay(core::Duration{0}, m_hooks.random())));
+}
+
 void RequestAdmission::refuseUnproven(const AdmittedRequest &request, const std::string &workspace,
                                       TimePoint now)
 {
--- a/packages/daemon/forward/request_admission.h
+++ b/packages/daemon/forward/request_admission.h
@@ -29,6 +29,8 @@
     // Requests refused because the configuration may be outdated.
     std::uint64_t unproven = 0;
     std::uint64_t overQuota = 0;
+    // Requests of a route or workspace whose entry in the configuration is malformed.
+    std::uint64_t unusable = 0;
 };
 
 // Checks callers' requests before they are forwarded: route, key of the workspace, age of the
@@ -82,6 +84,7 @@
     // valid key and returns false in `allowed`.
     const policy::access::Workspace *authenticate(AdmittedRequest &request, bool &allowed,
                                                   core::TimePoint now);
+    void refuseUnusable(const AdmittedRequest &request, core::ResultCode code);
     void refuseUnproven(const AdmittedRequest &request, const std::string &workspace,
                         core::TimePoint now);
     void onQuota(std::uint64_t httpCallId, QuotaDecision decision, core::TimePoint now);
--- a/packages/policy/access/key_table.cpp
+++ b/packages/policy/access/key_table.cpp
@@ -12,27 +12,51 @@
     return core::sha256Hex(key);
 }
 
-core::Result<std::shared_ptr<const KeyTable>> KeyTable::make(std::vector<WorkspaceKeys> entries)
+std::shared_ptr<const KeyTable> KeyTable::make(std::vector<WorkspaceKeys> entries,
+                                               std::vector<Error> &errors)
 {
     auto table = std::make_shared<KeyTable>();
     for (auto &it : entries) {
         const auto index = table->m_workspaces.size();
-        const auto &name = it.workspace.name;
-        if (!table->m_byName.emplace(name, index).second)
-            return Error{ResultCode::PlatformObject, "workspace '" + name + "' occurs twice"};
-        for (auto &digest : it.digests) {
-            if (!table->m_byDigest.emplace(std::move(digest), index).second) {
-                return Error{ResultCode::PlatformObject,
-                             "a key of workspace '" + name + "' occurs twice"};
-            }
+        if (!it.usable) {
+            table->addKeys(it.digests, std::nullopt, errors);
+            continue;
         }
-        if (table->m_byDigest.size() > maxKeys) {
-            return Error{ResultCode::PlatformObject,
-                         "more than " + std::to_string(maxKeys) + " keys"};
+        if (!table->m_byName.emplace(it.workspace.name, index).second) {
+            errors.push_back({ResultCode::ConfigurationPart,
+                              "workspace '" + it.workspace.name + "' occurs twice"});
+            table->addKeys(it.digests, std::nullopt, errors);
+            continue;
         }
         table->m_workspaces.push_back(std::move(it.workspace));
+        table->addKeys(it.digests, index, errors);
+    }
+    return table;
+}
+
+void KeyTable::addKeys(const std::vector<std::string> &digests, std::optional<std::size_t> index,
+                       std::vector<Error> &errors)
+{
+    for (const auto &it : digests) {
+        const auto known = m_byDigest.find(it);
+        if (known != m_byDigest.end() && index == known->second)
+            continue;
+        if (known != m_byDigest.end()) {
+            errors.push_back({ResultCode::ConfigurationPart,
+                              "workspace '" + m_workspaces[known->second].name
+                                  + "' holds a key of another one"});
+            m_byDigest.erase(known);
+            m_unusable.insert(it);
+        } else if (m_byDigest.size() + m_unusable.size() >= maxKeys && m_unusable.count(it) == 0) {
+            errors.push_back(
+                {ResultCode::ConfigurationPart, "more than " + std::to_string(maxKeys) + " keys"});
+            return;
+        } else if (index && m_unusable.count(it) == 0) {
+            m_byDigest.emplace(it, *index);
+        } else {
+            m_unusable.insert(it);
+        }
     }
-    return std::shared_ptr<const KeyTable>(std::move(table));
 }
 
 const Workspace *KeyTable::findByDigest(const std::string &digest) const
--- a/packages/policy/access/key_table.h
+++ b/packages/policy/access/key_table.h
@@ -5,15 +5,17 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace goldcrestline::policy::access {
 
 // Longest API key, in bytes.
-inline constexpr std::size_t maxKeyBytes = 256;
+inline constexpr std::size_t maxKeyBytes = 8192;
 // Most API keys of all workspaces together.
 inline constexpr std::size_t maxKeys = 100000;
 
@@ -26,29 +28,43 @@
 {
     Workspace workspace;
     std::vector<std::string> digests;
+    // False if the workspace's entry is malformed: requests with its keys are refused.
+    bool usable = true;
 };
 
 // All workspaces of one configuration version, by the digests of their keys. Immutable.
 class KeyTable
 {
 public:
-    // Errors: 5030 if a name or a digest occurs twice, or there are too many keys. Thread-safe.
-    static core::Result<std::shared_ptr<const KeyTable>> make(std::vector<WorkspaceKeys> entries);
+    // Appends error 5031 for what cannot be used: the second of two workspaces with the same name,
+    // a key of two workspaces, keys beyond the most. Thread-safe.
+    static std::shared_ptr<const KeyTable> make(std::vector<WorkspaceKeys> entries,
+                                                std::vector<core::Error> &errors);
 
-    // Returns the workspace that holds the key with this digest, or null. The time that it takes
-    // says nothing about the keys, since only digests are compared. Thread-safe.
+    // Returns whether the key with this digest is known, and cannot be used: its workspace is
+    // malformed, or two hold it. Thread-safe.
+    bool isUnusable(const std::string &digest) const { return m_unusable.count(digest) != 0; }
+
+    // Returns the workspace that holds the usable key with this digest, or null. The time that it
+    // takes says nothing about the keys, since only digests are compared. Thread-safe.
     const Workspace *findByDigest(const std::string &digest) const;
 
-    // Returns the workspace with this name, or null. Thread-safe.
+    // Returns the usable workspace with this name, or null. Thread-safe.
     const Workspace *find(const std::string &name) const;
 
     const std::vector<Workspace> &workspaces() const { return m_workspaces; }
 
 private:
+    void addKeys(const std::vector<std::string> &digests, std::optional<std::size_t> index,
+                 std::vector<core::Error> &errors);
+
+    // The usable workspaces.
     std::vector<Workspace> m_workspaces;
     // Indices of workspaces by name, and by the digest of a key.
     std::unordered_map<std::string, std::size_t> m_byName;
     std::unordered_map<std::string, std::size_t> m_byDigest;
+    // Digests of the keys that cannot be used.
+    std::unordered_set<std::string> m_unusable;
 };
 
 using KeyTablePtr = std::shared_ptr<const KeyTable>;
--- a/packages/policy/forward/route.cpp
+++ b/packages/policy/forward/route.cpp
@@ -19,9 +19,10 @@
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
                        std::map<std::string, ServiceTraits> services, CallerLimits callerLimits,
-                       access::KeyTablePtr workspaces)
+                       access::KeyTablePtr workspaces, std::vector<core::Error> leftOut)
     : m_version(version), m_routes(std::move(routes)), m_services(std::move(services)),
-      m_callerLimits(callerLimits), m_workspaces(std::move(workspaces))
+      m_callerLimits(callerLimits), m_workspaces(std::move(workspaces)),
+      m_leftOut(std::move(leftOut))
 {
     for (const auto &it : m_routes)
         m_byHost[lowerCase(it.host)].push_back(&it);
--- a/packages/policy/forward/route.h
+++ b/packages/policy/forward/route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/result.h"
 #include "policy/access/key_table.h"
 
 #include <cstdint>
@@ -51,6 +52,9 @@
     bool anonymous = false;
     // Regions whose servers may run the requests; empty for all.
     std::vector<std::string> allowedRegions;
+    // False if the route's entry is malformed: only host and prefix are set, and its requests are
+    // refused.
+    bool usable = true;
 
     bool fansOut() const { return !shards.empty(); }
 };
@@ -82,7 +86,7 @@
 public:
     RouteTable(std::uint64_t version, std::vector<Route> routes,
                std::map<std::string, ServiceTraits> services, CallerLimits callerLimits,
-               access::KeyTablePtr workspaces = nullptr);
+               access::KeyTablePtr workspaces = nullptr, std::vector<core::Error> leftOut = {});
 
     // Returns the route of `host` with the longest prefix of `path`, or null. Host names are
     // compared without case. Thread-safe.
@@ -96,6 +100,8 @@
     const CallerLimits &callerLimits() const { return m_callerLimits; }
     // Returns the workspaces and their keys; null if requests need no keys.
     const access::KeyTablePtr &workspaces() const { return m_workspaces; }
+    // Returns an error for each part of the configuration that cannot be used.
+    const std::vector<core::Error> &leftOut() const { return m_leftOut; }
 
 private:
     std::uint64_t m_version;
@@ -103,6 +109,7 @@
     std::map<std::string, ServiceTraits> m_services;
     CallerLimits m_callerLimits;
     access::KeyTablePtr m_workspaces;
+    std::vector<core::Error> m_leftOut;
     // Routes by lower-case host name, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost;
 };
--- a/tests/bench/access.cpp
+++ b/tests/bench/access.cpp
@@ -2,7 +2,7 @@
 
 #include "core/hash.h"
 #include "daemon/forward/request_admission.h"
-#include "platform/records.h"
+#include "platform/configuration.h"
 
 #include <algorithm>
 #include <ctime>
