Take no response with a status outside 100 to 599 for an answer

Callers: with a server that sends status 000, 001 or 099 a request that may run once ended with 504 at its deadline; statuses from 600 on were passed on as answers (MIXED, reported from other systems).

Cause: every status below 200 was taken for that of an interim response, and nothing bounded statuses above.

Change: the status is judged when the head is complete. One outside 100 to 599, or 101, ends the exchange as malformed: the connection is closed, the attempt counts as failed and perhaps run, the server as faulty, and an idempotent request goes elsewhere at once. All receivers but the command line's share this client; that of the command line, on libcurl, does the same.

--- a/packages/adapters/curl/http_client.cpp
+++ b/packages/adapters/curl/http_client.cpp
@@ -13,6 +13,10 @@
 // A transfer with a larger response body fails.
 constexpr std::size_t maxResponseBodyBytes = 64U << 20;
 
+// Statuses of HTTP (RFC 9110, section 15).
+constexpr long lowestStatus = 100;
+constexpr long highestStatus = 599;
+
 void initialiseCurl()
 {
     static std::once_flag once;
@@ -46,12 +50,14 @@
     // An interim response has a head of its own; trailers follow the body.
     if (endsHead || line.starts_with("HTTP/"))
         sink.headComplete = endsHead;
-    if (endsHead && sink.accept) {
+    if (endsHead) {
         long status = 0;
         curl_easy_getinfo(sink.easy, CURLINFO_RESPONSE_CODE, &status);
+        const bool accepted = status >= lowestStatus && status <= highestStatus
+            && (!sink.accept || sink.accept(static_cast<int>(status), headers));
         // Returning another count than the given one makes libcurl fail the transfer and close the
         // connection.
-        return sink.accept(static_cast<int>(status), headers) ? size * n : 0;
+        return accepted ? size * n : 0;
     }
     const auto colon = line.find(':');
     if (colon == std::string::npos)
--- a/packages/adapters/loop/exchange_client.cpp
+++ b/packages/adapters/loop/exchange_client.cpp
@@ -45,7 +45,10 @@
 constexpr core::Millis keepAliveMargin{300};
 constexpr int maxUnansweredProbes = 2;
 
+constexpr unsigned lowestStatus = 100;
+constexpr unsigned lowestFinalStatus = 200;
 constexpr unsigned lowestErrorStatus = 300;
+constexpr unsigned highestStatus = 599;
 
 using Parser = http::response_parser<ResponseBody>;
 
@@ -257,6 +260,8 @@
             bytes.remove_prefix(n);
             if (ec && ec != http::error::need_more)
                 return failBroken(connection, causeOf(ec));
+            if (parser.is_header_done() && !isStatus(parser.get().result_int()))
+                return failBroken(connection, BrokenCause::Malformed);
             if (parser.is_done()) {
                 if (!isExpectedResponse(*connection)) {
                     if (++connection->discardedResponses > maxDiscardedResponses)
@@ -279,6 +284,14 @@
             failBroken(connection, BrokenCause::TooLong);
     }
 
+    // Returns whether the number is a status of HTTP (RFC 9110, section 15) that a server may send. A
+    // change of the protocol is never requested.
+    static bool isStatus(unsigned number)
+    {
+        return number >= lowestStatus && number <= highestStatus
+            && number != static_cast<unsigned>(http::status::switching_protocols);
+    }
+
     void countBodyBytes(Connection &connection, std::uint64_t n)
     {
         bufferedBytes += n - connection.bodyBytes;
@@ -291,7 +304,7 @@
     static bool isExpectedResponse(Connection &connection)
     {
         const auto &response = connection.parser->get();
-        if (response.result_int() < 200)
+        if (response.result_int() < lowestFinalStatus)
             return false;
         const auto &request = connection.request;
         if (request.identityHeader.empty())
--- a/tests/standins/backend_farm.cpp
+++ b/tests/standins/backend_farm.cpp
@@ -198,6 +198,9 @@
         status = 500;
     if (backend->mode == "late-shed")
         status = 503;
+    constexpr std::string_view statusMode = "status-";
+    if (backend->mode.starts_with(statusMode))
+        status = static_cast<unsigned>(std::stoul(backend->mode.substr(statusMode.size())));
     const std::string target(request.target());
     const bool part = target.starts_with("/all/");
     response = makeResponse(status,
--- a/tests/standins/backend_farm.h
+++ b/tests/standins/backend_farm.h
@@ -37,8 +37,8 @@
         std::string state = "ready";
         // "up", "shed" (rejects without execution), or a fault after the execution has begun:
         // "hang" (no response), "lose" (closes the connection), "garble" (truncated response),
-        // "fail" (status 500) or "late-shed" (status 503 as if overloaded, but without the
-        // guarantee that the request was not executed).
+        // "fail" (status 500), "status-N" (status N, with the stamp) or "late-shed" (status 503 as
+        // if overloaded, but without the guarantee that the request was not executed).
         std::string mode = "up";
         // The server says in each response that it is leaving.
         bool saysLeaving = false;
--- a/tests/unit/exchange_client_test.cpp
+++ b/tests/unit/exchange_client_test.cpp
@@ -202,6 +202,51 @@
     CHECK(result->outcome == ExchangeOutcome::NotReached);
 }
 
+// Guards against a response for whose successor the client waits, and against one that is passed
+// on, although its status is none of HTTP's (RFC 9110, section 15).
+TEST_CASE("a response with a status that is none ends its exchange at once")
+{
+    const std::string id = "X-Id: a\r\n";
+    const std::string otherId = "X-Id: b\r\n";
+    const std::string promise = "X-Not-Executed: 1\r\n";
+    const std::string length = "Content-Length: 2\r\n";
+    ClientFixture it;
+    std::vector<std::string> cases;
+    for (const char *status : {"000", "001", "010", "099", "101", "600", "700", "999"}) {
+        for (const auto &headers :
+             {std::string(), id, otherId, promise, id + promise, id + length, length,
+              id + "Connection: close\r\n", id + "Transfer-Encoding: chunked\r\n"}) {
+            cases.push_back("HTTP/1.1 " + std::string(status) + " X\r\n" + headers + "\r\n");
+        }
+    }
+    for (const auto &head : cases) {
+        for (const std::string identity : {"a", ""}) {
+            CAPTURE(head, identity);
+            // The server says no more, and keeps the connection.
+            it.server.replies.push_back({head});
+            const auto from = core::Clock::now();
+            const auto result = it.get(identity);
+            CHECK(result.outcome == ExchangeOutcome::Broken);
+            CHECK(result.cause == ports::BrokenCause::Malformed);
+            CHECK_FALSE(result.connectionEnded());
+            CHECK(core::Clock::now() - from < 1s);
+        }
+    }
+    // The next request gets a new connection.
+    CHECK(it.server.connections == static_cast<int>(it.server.replies.size()));
+    // Interim responses, and the limits of the others.
+    for (const char *interim : {"100", "102", "103", "199"}) {
+        it.server.replies.push_back(
+            {"HTTP/1.1 " + std::string(interim) + " X\r\n\r\n" + responseA});
+        CHECK(it.get("a").body == "A");
+    }
+    for (const int status : {200, 599}) {
+        it.server.replies.push_back(
+            {"HTTP/1.1 " + std::to_string(status) + " X\r\n" + id + length + "\r\nok"});
+        CHECK(it.get("a").status == status);
+    }
+}
+
 TEST_CASE("a response without end is broken off at a bound of bytes")
 {
     ExchangeOptions options;
