--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -72,7 +72,7 @@
     's/result.outcome == AttemptOutcome::Shed \|\|/result.outcome == AttemptOutcome::Shed || result.outcome == AttemptOutcome::Broken ||/' \
     process_tests "claims are executed at most once while responses of servers are lost"
 mutant lost-is-unsent packages/adapters/loop/exchange_client.cpp \
-    's/fail\(connection, ExchangeOutcome::Broken, true\);/fail(connection, ExchangeOutcome::NotReached);/' \
+    's/failBroken\(connection, BrokenCause::ConnectionEnded\);/fail(connection, ExchangeOutcome::NotReached);/' \
     process_tests "claims are executed at most once while responses of servers are lost"
 mutant serves-stale $engine/host_state.h \
     's/return listsDocument.version\(\) < highestListsVersion\s*\|\| !freshness.mayServe\(members.knownCount\(\), now\);/(void)now; return false;/' \
@@ -196,8 +196,23 @@
     's/if \(\+\+connection->discardedResponses > maxDiscardedResponses\)/if (false)/' \
     unit_tests "a response without end is broken off at a bound of bytes"
 mutant memory-unbounded packages/adapters/loop/exchange_client.cpp \
-    's/if \(bufferedBytes > options.maxBufferedBytes/if (false/' \
+    's/while \(bufferedBytes > options.maxBufferedBytes\)/while (false)/' \
     unit_tests "large unfinished responses are broken off while all of them exceed their memory"
+mutant requests-unbounded packages/adapters/loop/http_server.cpp \
+    's/while \(bufferedBytes > most\)/while (false)/' \
+    unit_tests "unfinished requests of many connections stay within a bound together"
+mutant any-status packages/adapters/loop/exchange_client.cpp \
+    's/if \(parser.is_header_done\(\) && !isStatus/if (false \&\& !isStatus/' \
+    unit_tests "a response with a status that is none ends its exchange at once"
+mutant malformed-route-gone platform/configuration.cpp \
+    's/return unusable;\n\}/return std::nullopt;\n}/' \
+    unit_tests "a malformed field of a configuration leaves out its part alone"
+mutant malformed-rate-unlimited platform/configuration.cpp \
+    's/workspace.requestsPerSecond = optionalAmount/if (from.contains("rate_per_s") \&\& from.at("rate_per_s").is_number_unsigned())\n        workspace.requestsPerSecond = optionalAmount/' \
+    unit_tests "a malformed field of a configuration leaves out its part alone"
+mutant kept-unbounded platform/reply_reader.h \
+    's/return m_keptBytes > maxKeptBytes;/return false;/' \
+    unit_tests "a response with too much to keep is refused as one that would come again"
 mutant unnamed-taken packages/adapters/loop/exchange_client.cpp \
     's/response.result_int\(\) >= lowestErrorStatus/true/' \
     unit_tests "a success without the identity header is not taken for the response"
