--- a/tests/unit/reply_reader_test.cpp
+++ b/tests/unit/reply_reader_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/loop/exchange_client.h"
 #include "loop_helpers.h"
+#include "platform/configuration.h"
 #include "platform/json_text.h"
 #include "platform/reply_reader.h"
 #include "platform/store.h"
@@ -217,20 +218,33 @@
 // Guards against bytes that keep a whole configuration out of force.
 TEST_CASE("a configuration whose bytes cannot be decoded is read part by part", "[store][parts]")
 {
-    const std::string deep(100000, '[');
+    const auto nested = [](std::size_t depth) {
+        return std::string(depth, '[') + std::string(depth, ']');
+    };
     for (const std::string &odd :
          {std::string("\"\xff\xfe\""), std::string("1e999"), std::string("tru"),
-          std::string("\"\\ud800\""), deep + std::string(100000, ']')}) {
+          std::string("\"\\ud800\""), nested(62), nested(64), nested(70), nested(100000)}) {
+        CAPTURE(odd.substr(0, 80));
         const auto request = platform::listRequest("config", "");
         const auto body = R"({"items":[{"meta":{"name":"main","revision":9},"spec":{"version":7,)"
                           R"("odd":)"
-            + odd + R"(,"tenants":[{"name":)" + odd + R"(},{"name":"two"}]}}]})";
+            + odd + R"(,"routes":[{"host":"a.example","path_prefix":"/","name":)" + odd
+            + R"(}],"tenants":[{"name":)" + odd + R"(},{"name":"two"}]}}]})";
         const auto reply = platform::readReply(resultOf(request, body, 5));
         REQUIRE(reply.items.size() == 1);
         const auto &spec = reply.items[0].spec;
         CHECK(spec.at("version") == 7);
         CHECK_FALSE(spec.at("tenants")[0].at("name").is_string());
         CHECK(spec.at("tenants")[1].at("name") == "two");
+        // Another host gets the text, and comes to the same.
+        const auto table = platform::decodeConfig(spec).value();
+        const auto copy = platform::ConfigDecoder().decode(platform::configText(spec)).value();
+        REQUIRE(copy->workspaces());
+        CHECK(copy->workspaces()->find("two") != nullptr);
+        CHECK(table->workspaces()->find("two") != nullptr);
+        REQUIRE(copy->find("a.example", "/x") != nullptr);
+        CHECK_FALSE(copy->find("a.example", "/x")->usable);
+        CHECK(table->find("a.example", "/x") != nullptr);
     }
     // Other objects of the kind are passed over.
     const auto request = platform::listRequest("config", "");
