--- a/tests/bench/large_entries.cpp
+++ b/tests/bench/large_entries.cpp
@@ -3,7 +3,6 @@
 #include "routed_cluster.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -14,7 +13,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t entryBytes = 1000000;
-constexpr int writers = 8;
 constexpr double maxSeconds = 60;
 const std::string server = "i-single-0";
 
@@ -23,18 +21,6 @@
     return std::chrono::duration<double>(Clock::now() - from).count();
 }
 
-double peakMegabytes(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    double kilobytes = 0;
-    while (file >> word) {
-        if (word == "VmHWM:")
-            file >> kilobytes;
-    }
-    return kilobytes / 1024;
-}
-
 // Totals over all hosts, and the largest peak of memory.
 struct Use
 {
@@ -52,26 +38,12 @@
         out.storeCalls += cluster.metric(n, "store_calls_total");
         out.storeMegabytes += cluster.metric(n, "store_bytes_total") / 1e6;
         out.processorSeconds += process.processorSeconds();
-        out.peakMegabytes = std::max(out.peakMegabytes, peakMegabytes(process.pid()));
+        out.peakMegabytes =
+            std::max(out.peakMegabytes, static_cast<double>(process.peakMemoryBytes()) / (1 << 20));
     }
     return out;
 }
 
-void createEntries(const RoutedCluster &cluster, int count)
-{
-    std::vector<std::thread> threads;
-    for (int first = 0; first < writers; ++first) {
-        threads.emplace_back([&cluster, first, count] {
-            for (int i = first; i < count; i += writers) {
-                cluster.createStored("servers", "note-" + std::to_string(i),
-                                     {{"note", std::string(entryBytes, 'x')}});
-            }
-        });
-    }
-    for (auto &it : threads)
-        it.join();
-}
-
 // Returns the time until the last host logs that the server is leaving.
 double secondsUntilKnown(const RoutedCluster &cluster)
 {
@@ -99,7 +71,7 @@
         cluster.setPlatform({{"page_size", 1}});
         const auto before = useOf(cluster);
         const auto from = Clock::now();
-        createEntries(cluster, entries);
+        cluster.createLargeEntries("servers", entries, entryBytes);
         const double written = secondsSince(from);
         cluster.setBackends({{"id", server}, {"state", "draining"}});
         const double known = secondsUntilKnown(cluster);
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -170,6 +170,18 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t Process::peakMemoryBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (file >> word) {
+        if (word == "VmHWM:")
+            file >> kilobytes;
+    }
+    return 1024 * kilobytes;
+}
+
 CommandResult runCommand(const std::vector<std::string> &arguments, double seconds)
 {
     Process process(arguments);
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -37,6 +37,8 @@
     // Processor time used since the start, in seconds, and resident memory, in bytes.
     double processorSeconds() const;
     std::size_t memoryBytes() const;
+    // Largest resident memory since the start, in bytes.
+    std::size_t peakMemoryBytes() const;
 
 private:
     pid_t m_pid = -1;
--- a/tests/harness/routed_cluster.cpp
+++ b/tests/harness/routed_cluster.cpp
@@ -1,6 +1,8 @@
 #include "routed_cluster.h"
 
+#include <csignal>
 #include <stdexcept>
+#include <thread>
 
 namespace harness {
 
@@ -204,6 +206,31 @@
         throw std::runtime_error("the platform stand-in did not store " + kind + "/" + name);
 }
 
+void RoutedCluster::createLargeEntries(const std::string &kind, int count, std::size_t bytes) const
+{
+    constexpr int writers = 8;
+    std::vector<std::thread> threads;
+    for (int first = 0; first < writers; ++first) {
+        threads.emplace_back([&, first] {
+            for (int i = first; i < count; i += writers)
+                createStored(kind, "note-" + std::to_string(i),
+                             {{"note", std::string(bytes, 'x')}});
+        });
+    }
+    for (auto &it : threads)
+        it.join();
+}
+
+void RoutedCluster::restartAll()
+{
+    for (auto &it : m_hosts)
+        it.process->signal(SIGKILL);
+    for (auto &it : m_hosts)
+        it.process->wait();
+    for (std::size_t n = 0; n < m_hosts.size(); ++n)
+        start(n);
+}
+
 void RoutedCluster::removeStored(const std::string &kind, const std::string &name) const
 {
     Transfer transfer;
--- a/tests/harness/routed_cluster.h
+++ b/tests/harness/routed_cluster.h
@@ -46,6 +46,8 @@
 
     // Starts the process of host `n`.
     void start(std::size_t n);
+    // Kills all hosts, then starts them again.
+    void restartAll();
 
     // Sends a request with request id `id` to host `n`. `callerTimeoutMs` is the time that the
     // caller waits, sent as X-Deadline-Ms.
@@ -73,6 +75,9 @@
     bool isStored(const std::string &kind, const std::string &name) const;
     // Creates an object in the platform's store.
     void createStored(const std::string &kind, const std::string &name, const json &spec) const;
+    // Creates objects of this kind, "note-0" on, each with a text of so many bytes, by several
+    // connections at a time.
+    void createLargeEntries(const std::string &kind, int count, std::size_t bytes) const;
     // Deletes an object from the platform's store.
     void removeStored(const std::string &kind, const std::string &name) const;
     // Returns the addresses of all servers, from their entries in the store at `store`.
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <thread>
 
 // Bytes without end, or more than a host has memory for, from servers, the store and other hosts.
@@ -26,19 +25,6 @@
 // What allocation and other work add.
 constexpr std::size_t allowance = 16 * megabyte;
 
-// Returns the largest resident memory of host 0 since its start.
-std::size_t peakMemoryBytes(const RoutedCluster &cluster)
-{
-    std::ifstream file("/proc/" + std::to_string(cluster.host(0).process->pid()) + "/status");
-    std::string word;
-    std::size_t kilobytes = 0;
-    while (file >> word) {
-        if (word == "VmHWM:")
-            file >> kilobytes;
-    }
-    return 1024 * kilobytes;
-}
-
 // Sends requests for another service than the faulty ones to host 0, and requires that each is
 // served.
 class OtherCallers
@@ -96,7 +82,7 @@
           "[process][endless]")
 {
     RoutedCluster cluster;
-    const auto before = peakMemoryBytes(cluster);
+    const auto before = cluster.host(0).process->peakMemoryBytes();
     OtherCallers others(cluster);
     for (const char *mode : {"endless-head", "endless-body", "endless-chunks", "held-body"}) {
         CAPTURE(mode);
@@ -109,7 +95,7 @@
     CHECK(others.sent() > 100);
     CHECK(others.failed() == 0);
     CHECK(cluster.host(0).process->running());
-    CHECK(peakMemoryBytes(cluster) - before < maxServerBytes + allowance);
+    CHECK(cluster.host(0).process->peakMemoryBytes() - before < maxServerBytes + allowance);
     cluster.setBackends({{"service", "single"}, {"mode", "up"}});
     CHECK(eventually([&] { return sendMany(cluster, "up", 1) == 1; }));
 }
@@ -119,7 +105,7 @@
           "[process][endless]")
 {
     RoutedCluster cluster;
-    const auto before = peakMemoryBytes(cluster);
+    const auto before = cluster.host(0).process->peakMemoryBytes();
     OtherCallers others(cluster);
     cluster.setPlatform({{"mode", "endless"}});
     // Ends the watches that wait.
@@ -129,7 +115,7 @@
     others.finish();
     CHECK(others.sent() > 100);
     CHECK(others.failed() == 0);
-    CHECK(peakMemoryBytes(cluster) - before < maxStoreBytes + allowance);
+    CHECK(cluster.host(0).process->peakMemoryBytes() - before < maxStoreBytes + allowance);
     const auto log = cluster.host(0).process->output();
     CHECK(log.find("response too long") != std::string::npos);
     cluster.setPlatform({{"mode", "up"}});
@@ -142,7 +128,7 @@
           "[process][endless]")
 {
     RoutedCluster cluster;
-    const auto before = peakMemoryBytes(cluster);
+    const auto before = cluster.host(0).process->peakMemoryBytes();
     OtherCallers others(cluster);
     constexpr int connections = 30;
     constexpr std::size_t sentBytes = 8 * megabyte;
@@ -169,5 +155,5 @@
     CHECK(others.sent() > 20);
     CHECK(others.failed() == 0);
     CHECK(cluster.host(0).process->running());
-    CHECK(peakMemoryBytes(cluster) - before < maxPeerBytes + allowance);
+    CHECK(cluster.host(0).process->peakMemoryBytes() - before < maxPeerBytes + allowance);
 }
--- a/tests/process/large_entries_test.cpp
+++ b/tests/process/large_entries_test.cpp
@@ -1,8 +1,6 @@
 #include "routed_cluster.h"
 
 #include <catch2/catch.hpp>
-#include <csignal>
-#include <fstream>
 #include <thread>
 
 // Large objects of another writer in the platform's store.
@@ -19,41 +17,11 @@
 // A host keeps one object of a response at a time, and what it uses of the others.
 constexpr std::size_t maxGrowthBytes = 16 << 20;
 
-// Creates objects with one long text each, by several connections at a time.
-void createLargeEntries(const RoutedCluster &cluster, const std::string &kind, int count)
-{
-    constexpr int writers = 8;
-    std::vector<std::thread> threads;
-    for (int first = 0; first < writers; ++first) {
-        threads.emplace_back([&, first] {
-            for (int i = first; i < count; i += writers) {
-                cluster.createStored(kind, "note-" + std::to_string(i),
-                                     {{"note", std::string(entryBytes, 'x')}});
-            }
-        });
-    }
-    for (auto &it : threads)
-        it.join();
-}
-
-// Returns the largest resident memory of a process since its start.
-std::size_t peakMemoryBytes(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    std::size_t kilobytes = 0;
-    while (file >> word) {
-        if (word == "VmHWM:")
-            file >> kilobytes;
-    }
-    return 1024 * kilobytes;
-}
-
 std::vector<std::size_t> peakMemory(const RoutedCluster &cluster)
 {
     std::vector<std::size_t> out;
     for (std::size_t n = 0; n < cluster.size(); ++n)
-        out.push_back(peakMemoryBytes(cluster.host(n).process->pid()));
+        out.push_back(cluster.host(n).process->peakMemoryBytes());
     return out;
 }
 
@@ -79,7 +47,7 @@
     const auto before = peakMemory(cluster);
     // No page of a list is longer than one entry, as the store's are 1 MB at most.
     cluster.setPlatform({{"page_size", 1}});
-    createLargeEntries(cluster, "servers", 64);
+    cluster.createLargeEntries("servers", 64, entryBytes);
     cluster.setBackends({{"id", "i-single-0"}, {"state", "draining"}});
     const auto drainingAt = Clock::now();
     sendToAll(cluster, 10);
@@ -100,7 +68,7 @@
     RoutedCluster cluster(3);
     const auto before = peakMemory(cluster);
     cluster.setPlatform({{"page_size", 1}});
-    createLargeEntries(cluster, "config", 64);
+    cluster.createLargeEntries("config", 64, entryBytes);
     cluster.applyConfiguration(RoutedCluster::configuration(2));
     for (std::size_t n = 0; n < cluster.size(); ++n)
         CHECK(eventually([&] { return cluster.metric(n, "configuration_version") == 2; }, 3));
@@ -115,13 +83,8 @@
     RoutedCluster cluster(3);
     cluster.setPlatform({{"page_size", 1}});
     for (const char *kind : {"servers", "config", "goldcrestline-hosts", "evacuations"})
-        createLargeEntries(cluster, kind, 16);
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.host(n).process->signal(SIGKILL);
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.host(n).process->wait();
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.start(n);
+        cluster.createLargeEntries(kind, 16, entryBytes);
+    cluster.restartAll();
     constexpr double recoverySeconds = 12;
     for (std::size_t n = 0; n < cluster.size(); ++n) {
         CHECK(eventually(
@@ -130,6 +93,6 @@
                     && cluster.sendRequest(n, "/all/x", "a" + std::to_string(n)).status == 200;
             },
             recoverySeconds));
-        CHECK(peakMemoryBytes(cluster.host(n).process->pid()) < 2 * maxGrowthBytes);
+        CHECK(cluster.host(n).process->peakMemoryBytes() < 2 * maxGrowthBytes);
     }
 }
--- a/tests/process/odd_names_test.cpp
+++ b/tests/process/odd_names_test.cpp
@@ -1,7 +1,6 @@
 #include "routed_cluster.h"
 
 #include <catch2/catch.hpp>
-#include <csignal>
 
 // Objects in the platform's store that other writers created, with names of their choice.
 
@@ -16,16 +15,6 @@
     "copy of b1",       "a b",  "a&b=c", "a+b", "a%20b",    "a%b", "a/b",  "a?b", "a#b",
     "a\r\nX-Header: b", "a\tb", "\"",    "\\",  "\xc3\xbc", "~",   "zz zz"};
 
-void restartAll(RoutedCluster &cluster)
-{
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.host(n).process->signal(SIGKILL);
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.host(n).process->wait();
-    for (std::size_t n = 0; n < cluster.size(); ++n)
-        cluster.start(n);
-}
-
 bool allServe(const RoutedCluster &cluster)
 {
     return eventually(
@@ -53,7 +42,7 @@
     }
     // Each name is the last one of a page.
     cluster.setPlatform({{"page_size", 1}});
-    restartAll(cluster);
+    cluster.restartAll();
     CHECK(allServe(cluster));
 }
 
@@ -66,6 +55,6 @@
     for (const char *kind : {"servers", "goldcrestline-hosts", "config"})
         cluster.createStored(kind, "copy of b1", {{"text", "x"}});
     cluster.setPlatform({{"page_size", 1}, {"reject_after", " "}});
-    restartAll(cluster);
+    cluster.restartAll();
     CHECK(allServe(cluster));
 }
